Start: core types, ports, build, checks

Cause: an empty repository; several people must be able to start along the ports. Conclusion: the contract for work side by side.

--- /dev/null
+++ b/modules/core/include/oleander/core/Event.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace oleander {
+
+/// Numbered log events. docs/events.md is the catalogue and a test holds it against this list.
+/// Numbers are never reused.
+enum class EventId : std::uint16_t {
+    DaemonStarted = 100,
+    DaemonReady = 101,
+    DaemonStopping = 102,
+    DaemonStopped = 103,
+    LateTimer = 110,
+    BadSettings = 120,
+    ConfigurationAccepted = 200,
+    ConfigurationRefused = 201,
+    ConfigurationOld = 202,
+    InstanceListChanged = 210,
+    PartitionMapChanged = 211,
+    PlatformUnreachable = 220,
+    PlatformReachable = 221,
+    QueryRefused = 300,
+    QueryPartial = 301,
+    QueryFailed = 302,
+    ServerConnectionLost = 400,
+    ServerDraining = 401,
+    ServerEjected = 402,
+    ServerReadmitted = 403,
+    ServerSilent = 404,
+    ServerWrongSnapshot = 405,
+    CrashSuspicion = 410,
+    CrashRefusal = 411,
+    PeerOpened = 500,
+    PeerLost = 501,
+    PeerRefused = 502,
+    CallerProtocolError = 600,
+};
+
+enum class EventSeverity { Info, Warning, Error };
+
+struct EventInfo
+{
+    EventId id;
+    EventSeverity severity;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+/// All events in rising order of number.
+std::span<const EventInfo> allEvents();
+
+/// The catalogue row of one event.
+const EventInfo &eventInfo(EventId id);
+
+} // namespace oleander
