--- a/modules/core/include/oleander/core/StrongId.h
+++ b/modules/core/include/oleander/core/StrongId.h
@@ -28,6 +28,7 @@
     [[nodiscard]] const std::string &text() const { return m_text; }
     [[nodiscard]] bool isEmpty() const { return m_text.empty(); }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the generated zero for a pointer.
     auto operator<=>(const NameId &) const = default;
     bool operator==(const NameId &) const = default;
 
@@ -54,6 +55,7 @@
     [[nodiscard]] constexpr std::uint64_t value() const { return m_value; }
     [[nodiscard]] constexpr bool isNone() const { return m_value == 0; }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): as above.
     auto operator<=>(const NumberId &) const = default;
     bool operator==(const NumberId &) const = default;
 
