--- a/modules/core/include/oleander/core/Policy.h
+++ b/modules/core/include/oleander/core/Policy.h
@@ -56,13 +56,13 @@
     std::vector<CallerId> urgentCallers;
 
     /// Whether an unknown query goes to one server before the rest.
-    bool canary = false;
+    bool canary = true;
     /// A fingerprint answered without a crash is taken as harmless for this long.
     Duration canaryMemory = seconds(600);
     /// A fingerprint under suspicion is refused for this long.
     Duration crashRefusal = seconds(60);
     /// Servers one fingerprint may cost before it is refused.
-    int crashServerLimit = 1;
+    int crashServerLimit = 2;
 
     /// At most this share of a service's servers is ejected at a time.
     PerMille ejectionLimit{300};
--- /dev/null
+++ b/modules/decisions/src/request/LatencyWindow.cpp
@@ -0,0 +1,117 @@
+#include <oleander/decisions/request/LatencyWindow.h>
+
+#include <boost/histogram.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace oleander {
+
+namespace {
+
+namespace bh = boost::histogram;
+
+using LatencyAxis = bh::axis::regular<double, bh::axis::transform::log>;
+using LatencyHistogram =
+    decltype(bh::make_histogram_with(std::vector<std::uint32_t>(), std::declval<LatencyAxis>()));
+
+constexpr int bucketCount = 120;
+constexpr double shortestMicroseconds = 50;
+constexpr double longestMicroseconds = 30'000'000;
+/// Counts are halved after this many samples.
+constexpr std::uint64_t generationSize = 4096;
+/// Fewer samples than this tell nothing about a quantile.
+constexpr std::uint64_t samplesNeeded = 50;
+/// A cached quantile is used for this many new samples.
+constexpr std::uint64_t cacheLife = 64;
+
+LatencyHistogram makeEmpty()
+{
+    return bh::make_histogram_with(
+        std::vector<std::uint32_t>(),
+        LatencyAxis(bucketCount, shortestMicroseconds, longestMicroseconds));
+}
+
+} // namespace
+
+struct LatencyWindow::Impl
+{
+    LatencyHistogram histogram = makeEmpty();
+    std::uint64_t samples = 0;
+    std::uint64_t generation = 0;
+    std::int64_t meanMicroseconds = 0;
+
+    PerMille cachedShare{};
+    Duration cachedQuantile{};
+    std::uint64_t cacheLeft = 0;
+
+    void halve()
+    {
+        samples = 0;
+        for (auto &&cell : bh::indexed(histogram, bh::coverage::all)) {
+            *cell = *cell / 2;
+            samples += *cell;
+        }
+        generation = 0;
+    }
+
+    [[nodiscard]] Duration search(PerMille share) const
+    {
+        const std::uint64_t wanted = (samples * share.value + 999) / 1000;
+        std::uint64_t seen = 0;
+        double upper = shortestMicroseconds;
+        for (auto &&cell : bh::indexed(histogram, bh::coverage::all)) {
+            seen += *cell;
+            upper = std::clamp(cell.bin().upper(), shortestMicroseconds, longestMicroseconds);
+            if (seen >= wanted)
+                break;
+        }
+        return Duration(static_cast<std::int64_t>(upper));
+    }
+};
+
+LatencyWindow::LatencyWindow()
+    : m_impl(std::make_unique<Impl>())
+{
+}
+
+LatencyWindow::~LatencyWindow() = default;
+LatencyWindow::LatencyWindow(LatencyWindow &&) noexcept = default;
+LatencyWindow &LatencyWindow::operator=(LatencyWindow &&) noexcept = default;
+
+void LatencyWindow::add(Duration latency)
+{
+    Impl &impl = *m_impl;
+    impl.histogram(static_cast<double>(std::max<std::int64_t>(latency.count(), 1)));
+    ++impl.samples;
+    ++impl.generation;
+    if (impl.cacheLeft > 0)
+        --impl.cacheLeft;
+    const std::int64_t error = latency.count() - impl.meanMicroseconds;
+    impl.meanMicroseconds += impl.meanMicroseconds == 0 ? error : error / 32;
+    if (impl.generation >= generationSize)
+        impl.halve();
+}
+
+Duration LatencyWindow::quantile(PerMille share, Duration fallback) const
+{
+    Impl &impl = *m_impl;
+    if (impl.samples < samplesNeeded)
+        return fallback;
+    if (impl.cacheLeft == 0 || impl.cachedShare != share) {
+        impl.cachedQuantile = impl.search(share);
+        impl.cachedShare = share;
+        impl.cacheLeft = cacheLife;
+    }
+    return impl.cachedQuantile;
+}
+
+Duration LatencyWindow::mean(Duration fallback) const
+{
+    if (m_impl->samples < samplesNeeded)
+        return fallback;
+    return Duration(m_impl->meanMicroseconds);
+}
+
+} // namespace oleander
--- /dev/null
+++ b/modules/decisions/src/request/RequestMemory.cpp
@@ -0,0 +1,96 @@
+#include <oleander/decisions/request/RequestMemory.h>
+
+#include <xxhash.h>
+
+namespace oleander {
+
+namespace {
+
+/// Remembered answers larger than this are not replayed in full.
+constexpr std::size_t replayedDocuments = 1000;
+
+AtMostOnceVerdict refuse(Reason &reason, ErrorKind kind, std::string text)
+{
+    reason.set(kind, std::move(text));
+    return {};
+}
+
+AtMostOnceVerdict judgeKnown(const RememberedRequest &known, Reason &reason)
+{
+    if (!known.answer)
+        return refuse(reason, ErrorKind::AlreadyRan, "a request with this id is under way");
+    AtMostOnceVerdict verdict;
+    verdict.action = AtMostOnceVerdict::Action::Replay;
+    verdict.replay = known.answer;
+    return verdict;
+}
+
+} // namespace
+
+std::size_t RequestKeyHash::operator()(const RequestKey &key) const noexcept
+{
+    const std::string &caller = key.caller.text();
+    const std::string &request = key.request.text();
+    const XXH64_hash_t seed = XXH3_64bits(caller.data(), caller.size());
+    return XXH3_64bits_withSeed(request.data(), request.size(), seed);
+}
+
+AtMostOnceVerdict judgeRequest(RequestMemory &memory, const Query &query, TimePoint now,
+                               WallTime wallNow, const Policy &policy, Reason &reason)
+{
+    const RequestKey key{query.caller, query.request};
+    if (const auto known = memory.requests.find(key); known != memory.requests.end())
+        return judgeKnown(known->second, reason);
+    if (!query.issuedAt) {
+        return refuse(reason, ErrorKind::BadRequest,
+                      "a non-idempotent request needs its time of issue");
+    }
+    if (*query.issuedAt > wallNow + clockDisagreement)
+        return refuse(reason, ErrorKind::BadRequest, "the time of issue is in the future");
+    if (*query.issuedAt < memory.completeSince + clockDisagreement) {
+        return refuse(reason, ErrorKind::MemoryTooYoung,
+                      "issued before this coordinator's memory is complete");
+    }
+    if (*query.issuedAt + policy.requestMemory < wallNow + clockDisagreement) {
+        return refuse(reason, ErrorKind::MemoryTooYoung,
+                      "issued longer ago than requests are remembered");
+    }
+    memory.requests.emplace(key, RememberedRequest{now, std::nullopt});
+    memory.byAge.push_back(key);
+    AtMostOnceVerdict verdict;
+    verdict.action = AtMostOnceVerdict::Action::Run;
+    return verdict;
+}
+
+void noteRequestEnded(RequestMemory &memory, const RequestKey &key, const Answer &answer)
+{
+    const auto known = memory.requests.find(key);
+    if (known == memory.requests.end())
+        return;
+    if (answer.ran == RanState::NotRun) {
+        memory.requests.erase(known);
+        return;
+    }
+    known->second.answer = answer;
+    if (answer.documents.size() > replayedDocuments) {
+        known->second.answer->documents.clear();
+        known->second.answer->error = ErrorKind::AlreadyRan;
+    }
+}
+
+void forgetOldRequests(RequestMemory &memory, TimePoint now, const Policy &policy)
+{
+    // Kept longer than a time of issue is accepted, so that no request slips between the two.
+    const Duration keep = policy.requestMemory + 2 * clockDisagreement;
+    while (!memory.byAge.empty()) {
+        const auto oldest = memory.requests.find(memory.byAge.front());
+        if (oldest != memory.requests.end()) {
+            if (now - oldest->second.since < keep)
+                return;
+            memory.requests.erase(oldest);
+        }
+        memory.byAge.pop_front();
+    }
+}
+
+} // namespace oleander
