Query node: entry and coordinator over the ports

Cause: the whole path needs its middle: an entry that checks and forwards, a coordinator that plans, admits, scatters, hedges, cancels and merges. Change: ServerPool (connections within a server's cap, silence told from slowness by a fresh connection), WaitingLines (a line a shard, so queued work is never bound to a server that leaves), ServiceCoordinator, CoordinatorSet (who may serve, and since when its memory of non-idempotent requests is complete), QueryEntry, QueryNode. Ruled out: a queue for each server (its work would have to be moved on drain), and a timer for each sub-request (a millisecond tick over active queries costs less).

--- a/modules/core/include/oleander/core/Ids.h
+++ b/modules/core/include/oleander/core/Ids.h
@@ -35,6 +35,8 @@
 using ConnectionId = NumberId<struct ConnectionTag>;
 /// One call to a peer daemon, unique inside a daemon process.
 using PeerCallId = NumberId<struct PeerCallTag>;
+/// A query that was submitted and has not been answered, unique inside a daemon process.
+using QueryTicket = NumberId<struct QueryTicketTag>;
 /// Hash of what a query asks for; equal queries have equal fingerprints.
 using Fingerprint = NumberId<struct FingerprintTag>;
 
--- /dev/null
+++ b/modules/node/src/coordinator/CoordinatorSet.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "coordinator/ServiceCoordinator.h"
+
+#include <oleander/node/QueryNode.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace oleander {
+
+/// The services that this worker coordinates, kept in step with what is published.
+///
+/// It decides whether a query may be served here at all; ServiceCoordinator decides the rest.
+class CoordinatorSet
+{
+public:
+    CoordinatorSet(QueryNode::Ports ports, QueryNode::Identity identity);
+    ~CoordinatorSet();
+
+    // Queries
+    /// Names a query that was submitted here.
+    struct Handle
+    {
+        ServiceId service;
+        ActiveQueryId query;
+    };
+
+    /// Answers a query, or refuses it when this instance does not coordinate its service.
+    /// `instanceList` is the version that the sender chose this instance by.
+    Handle submit(PeerQuery message, std::function<void(Answer)> done);
+    void abandon(const Handle &handle);
+
+    // Time and evidence
+    void tick(TimePoint now);
+    void beat(TimePoint now, bool isAfterPause);
+    void onCrashNotices(const std::vector<CrashNotice> &notices);
+
+    // Status
+    [[nodiscard]] bool ownsService(const ServiceId &service) const;
+    [[nodiscard]] std::size_t activeQueries() const;
+    void fillStatus(QueryNodeStatus &status) const;
+
+private:
+    /// The coordinators of a service since some time, by this instance's list.
+    struct Epoch
+    {
+        WallTime since;
+        std::vector<InstanceId> coordinators;
+    };
+
+    struct Entry
+    {
+        std::unique_ptr<ServiceCoordinator> coordinator;
+        std::deque<Epoch> epochs;
+    };
+
+    void followView();
+    void followService(const FleetView &view, const std::shared_ptr<const PartitionMap> &map);
+    Entry &entryFor(const ServiceId &service);
+    bool mayServe(const PeerQuery &message, const FleetView &view, const ServiceId &service,
+                  const Policy &policy, Answer &refused);
+    bool mayServeOnce(const PeerQuery &message, const FleetView &view, Entry &entry,
+                      const ServiceId &service, const Policy &policy, Answer &refused);
+    void spreadCrash(const ServiceId &service, const CrashEvidence &evidence);
+    [[nodiscard]] Policy servicePolicy(const FleetView &view, const PartitionMap &map) const;
+
+    QueryNode::Ports m_ports;
+    QueryNode::Identity m_identity;
+    std::shared_ptr<const FleetView> m_view;
+    std::map<ServiceId, Entry> m_entries;
+};
+
+} // namespace oleander
