ViewExchange: digest of the whole view, and what its sender refused

Cause: 45 summaries are about 1.6 KB; spelled out in request and reply of each exchange they are a fifth of the 28 KB/s budget. And a section that one side found invalid would be sent to it again each second.

Change: heldDigest and statesHeld let equal views be compared by one number; refused names sections not to be sent again. Additive: defaults keep the old meaning.

Run: build and ctest; no code reads the new members yet.

--- a/modules/ports/include/oleander/ports/PeerMessage.h
+++ b/modules/ports/include/oleander/ports/PeerMessage.h
@@ -69,7 +69,13 @@
 struct ViewExchange
 {
     InstanceId from;
+    /// Hash over all summaries that the sender holds, so that equal views need not be spelled out.
+    std::uint64_t heldDigest = 0;
+    /// False when `held` is left out and only the digest speaks.
+    bool statesHeld = true;
     std::vector<SectionSummary> held;
+    /// Sections that the sender found invalid. They are not sent to it again.
+    std::vector<SectionSummary> refused;
     std::vector<Section> newer;
     std::vector<CrashNotice> crashes;
     /// True when the sender takes no new queries.
