--- a/modules/decisions/src/request/RequestMemory.cpp
+++ b/modules/decisions/src/request/RequestMemory.cpp
@@ -25,6 +25,16 @@
     return verdict;
 }
 
+/// Leaves only what is still true without the documents: that the request ran.
+void dropDocuments(Answer &answer)
+{
+    answer.outcome = Outcome::Unknown;
+    answer.error = ErrorKind::AlreadyRan;
+    answer.errorText = "executed before; its documents are no longer held";
+    answer.documents.clear();
+    answer.coverage = Coverage{};
+}
+
 } // namespace
 
 std::size_t RequestKeyHash::operator()(const RequestKey &key) const noexcept
@@ -72,10 +82,8 @@
         return;
     }
     known->second.answer = answer;
-    if (answer.documents.size() > replayedDocuments) {
-        known->second.answer->documents.clear();
-        known->second.answer->error = ErrorKind::AlreadyRan;
-    }
+    if (answer.documents.size() > replayedDocuments)
+        dropDocuments(*known->second.answer);
 }
 
 void forgetOldRequests(RequestMemory &memory, TimePoint now, const Policy &policy)
--- /dev/null
+++ b/modules/node/tests/support/History.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "VirtualClock.h"
+
+#include <oleander/core/FleetView.h>
+#include <oleander/core/Query.h>
+#include <oleander/core/SubRequest.h>
+
+#include <memory>
+#include <set>
+
+namespace oleander::fakes {
+
+/// One attempt of a caller: what it sent to which daemon, and what came back.
+struct Submission
+{
+    int number = 0;
+    TimePoint at;
+    int daemon = 0;
+    Query query;
+    std::optional<Answer> answer;
+    TimePoint answeredAt;
+    /// The caller took it back.
+    bool isAbandoned = false;
+    /// The daemon was killed, or frozen past the deadline, before it answered.
+    bool isEntryLost = false;
+};
+
+/// A sub-request as it left a daemon, or as a backend server began to execute it.
+struct SubRequestEvent
+{
+    TimePoint at;
+    int daemon = 0;
+    ServerId server;
+    SubRequest request;
+};
+
+/// A daemon was told that a server drains, by a reply or by the published list.
+struct DrainEvidence
+{
+    TimePoint at;
+    int daemon = 0;
+    ServerId server;
+};
+
+/// Everything that a session did, for the judge and for golden files.
+struct History
+{
+    explicit History(const VirtualClock &sessionClock)
+        : clock(sessionClock)
+        , start(sessionClock.now())
+    {
+    }
+
+    /// Adds a line to the trace, with the time since the start in milliseconds.
+    void note(const std::string &text);
+
+    const VirtualClock &clock;
+    TimePoint start;
+    /// Pointers into it stay valid.
+    std::vector<std::unique_ptr<Submission>> submissions;
+    std::vector<SubRequestEvent> sends;
+    std::vector<SubRequestEvent> executions;
+    std::vector<DrainEvidence> drains;
+    /// Every partition map that was ever published.
+    std::vector<std::shared_ptr<const PartitionMap>> maps;
+    /// Servers lost while they executed the query that crashes servers.
+    std::set<ServerId> crashedServers;
+    /// Most connections that a server held at once beyond its cap.
+    int refusedConnections = 0;
+    bool isTracing = false;
+    std::vector<std::string> trace;
+};
+
+} // namespace oleander::fakes
--- /dev/null
+++ b/modules/node/tests/support/SeededRandom.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <oleander/core/Units.h>
+#include <oleander/ports/RandomSource.h>
+
+#include <random>
+
+namespace oleander::fakes {
+
+/// Random numbers that a seed repeats.
+class SeededRandom final : public RandomSource
+{
+public:
+    explicit SeededRandom(std::uint64_t seed)
+        : m_engine(seed)
+    {
+    }
+
+    std::uint64_t next() override { return m_engine(); }
+    /// True `share` times of a thousand.
+    bool chance(std::uint64_t share) { return below(1000) < share; }
+    /// Uniform between the two, in whole microseconds.
+    Duration between(Duration least, Duration most)
+    {
+        const auto width = static_cast<std::uint64_t>((most - least).count()) + 1;
+        return least + Duration(below(width));
+    }
+
+private:
+    std::mt19937_64 m_engine;
+};
+
+} // namespace oleander::fakes
