Adapters towards backend servers and platform, stand-ins of both

Cause: the thin path needs the two ports' adapters and something to talk to. Change: AsioServerNetwork (HTTP/1.1 keep-alive, MessagePack, one request in flight, echo checked), AsioPlatformReader (one connection a call, addresses in turn), standin-config and standin-server with switched faults over an admin address. Sub-requests carry the client's random number, since their ids are unique inside one daemon only. Ruled out: MSGPACK_DEFINE_MAP itself, which builds a std::map for each body; Beast 1.74's own body limit alone, which it forgets when body bytes arrive with a reply's header (a test of the platform reader found it). Conclusion: ready for the thin path.

--- /dev/null
+++ b/modules/adapters/src/platform/PlatformCall.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "../servers/Asio.h"
+
+#include <oleander/adapters/platform/AsioPlatformReader.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace oleander {
+
+/// What all calls of one reader share.
+struct PlatformService
+{
+    std::vector<std::string> addresses;
+    PlatformReaderLimits limits;
+    /// Index of the address that answered last.
+    std::size_t preferred = 0;
+};
+
+/// One call to the configuration service: tries the addresses until one answers.
+class PlatformCall : public std::enable_shared_from_this<PlatformCall>
+{
+public:
+    /// The service is held weakly: once its reader is gone, the call reports nothing.
+    PlatformCall(asio::io_context &context, const std::shared_ptr<PlatformService> &service,
+                 std::string target, Duration wait, PlatformCallback callback);
+
+    void start();
+
+private:
+    using Error = boost::system::error_code;
+
+    void tryNext();
+    void onConnected(const Error &error);
+    void onWritten(const Error &error);
+    void onHeader(const Error &error);
+    void onRead(const Error &error);
+    [[nodiscard]] std::optional<PlatformValue> result() const;
+    void finish(PlatformValue value);
+
+    asio::io_context &m_context;
+    std::weak_ptr<PlatformService> m_service;
+    std::string m_target;
+    Duration m_wait;
+    PlatformCallback m_callback;
+    std::optional<beast::tcp_stream> m_stream;
+    std::size_t m_tried = 0;
+    std::size_t m_address = 0;
+    http::request<http::empty_body> m_request;
+    beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+};
+
+} // namespace oleander
