ViewExchange: ask for texts by name; sections are core values

Cause: announcements of one change reach a daemon from several peers; were the reply to each to carry the text, it would travel several times. And the decisions on sections may not include the ports.

SectionSummary and Section move to core/Section.h, which PeerMessage.h includes, so that nothing else changes.

Run: build; no code reads the new members yet.

--- a/modules/ports/include/oleander/ports/PeerMessage.h
+++ b/modules/ports/include/oleander/ports/PeerMessage.h
@@ -2,6 +2,7 @@
 
 #include <oleander/core/FleetView.h>
 #include <oleander/core/Query.h>
+#include <oleander/core/Section.h>
 
 #include <cstdint>
 #include <string>
@@ -33,25 +34,6 @@
     bool operator==(const PeerAnswer &) const = default;
 };
 
-/// Name, version and content hash of a published section, such as "config" or "partitions/x".
-struct SectionSummary
-{
-    std::string name;
-    SectionVersion version;
-    std::uint64_t digest = 0;
-
-    bool operator==(const SectionSummary &) const = default;
-};
-
-/// A published section as read from the platform, unparsed.
-struct Section
-{
-    SectionSummary summary;
-    std::string body;
-
-    bool operator==(const Section &) const = default;
-};
-
 /// Evidence that a server was lost while it executed a query.
 struct CrashNotice
 {
@@ -64,8 +46,10 @@
     bool operator==(const CrashNotice &) const = default;
 };
 
-/// Exchanged between peers each second and on each change. The reply carries the sections that the
-/// sender holds in lower versions, and the replier's own summaries.
+/// Exchanged between peers each second and on each change, as request and as reply.
+///
+/// A message says what its sender holds, by one digest or in full, and may ask for the texts of
+/// sections. A side that learns of a newer value asks for it, so that texts travel only when wanted.
 struct ViewExchange
 {
     InstanceId from;
@@ -74,10 +58,13 @@
     /// False when `held` is left out and only the digest speaks.
     bool statesHeld = true;
     std::vector<SectionSummary> held;
-    /// Sections that the sender found invalid. They are not sent to it again.
-    std::vector<SectionSummary> refused;
+    /// Names of sections whose texts the reply shall carry.
+    std::vector<std::string> wanted;
+    /// The texts that were asked for.
     std::vector<Section> newer;
     std::vector<CrashNotice> crashes;
+    /// How long ago the platform last answered a daemon that the sender has heard of.
+    Duration platformAge = Duration::max();
     /// True when the sender takes no new queries.
     bool isStopping = false;
 
