ControlNode: sections from the platform and from peers come into force

Change: PlatformWatcher keeps one call a section with backoff; PeerExchange compares digests each second, announces changes at once and pulls texts by name, each about once; ControlRoles joins list and evidence; ControlCore joins them all. Fakes of platform, peers and parsers for tests.

Run: node_tests, FleetBecomesReadyAndAChangeReachesAll: 12 daemons, 3 data centres.

--- /dev/null
+++ b/modules/node/src/control/PeerExchange.cpp
@@ -0,0 +1,207 @@
+#include "PeerExchange.h"
+
+#include <algorithm>
+
+namespace oleander {
+
+namespace {
+
+constexpr std::size_t maximumOthers = 3;
+
+std::size_t textBytes(const std::vector<Section> &sections)
+{
+    std::size_t bytes = 0;
+    for (const Section &section : sections)
+        bytes += section.body.size();
+    return bytes;
+}
+
+std::vector<std::string> namesOf(const std::vector<SectionSummary> &summaries)
+{
+    std::vector<std::string> names;
+    for (const SectionSummary &summary : summaries)
+        names.push_back(summary.name);
+    return names;
+}
+
+} // namespace
+
+PeerExchange::PeerExchange(const Context &context, Handlers handlers)
+    : m_context(context)
+    , m_handlers(std::move(handlers))
+{
+}
+
+void PeerExchange::compare(const Instance &peer, Done done)
+{
+    const bool statesHeld = !m_context.settings.gossip.comparesDigests;
+    send(peer, message(statesHeld), m_context.settings.gossip.compareTimeout,
+         [this, peer, statesHeld, done = std::move(done)](const ViewExchange *reply) {
+             if (!reply) {
+                 done({});
+                 return;
+             }
+             const bool isEqual = reply->heldDigest == heldDigest(m_context.store);
+             if (!isEqual && !statesHeld && isPeerBehind(m_context.store, reply->held))
+                 announce(peer, {});
+             done({true, isEqual ? !m_context.store.held.empty() : !reply->held.empty()});
+         });
+}
+
+void PeerExchange::announce(const Instance &peer, std::vector<CrashNotice> crashes)
+{
+    ViewExchange announcement = message(true);
+    announcement.crashes = std::move(crashes);
+    send(peer, std::move(announcement), m_context.settings.gossip.compareTimeout,
+         [](const ViewExchange *) {});
+}
+
+ViewExchange PeerExchange::answer(const ViewExchange &request, const Instance *sender)
+{
+    absorb(request, sender);
+    const bool isEqual = request.heldDigest == heldDigest(m_context.store);
+    ViewExchange reply = message(!isEqual && request.wanted.empty());
+    reply.newer = textsOf(request.wanted);
+    if (!sender && request.statesHeld)
+        reply.wanted = namesOf(sectionsWantedFrom(m_context.store, request.held));
+    return reply;
+}
+
+ViewExchange PeerExchange::message(bool statesHeld) const
+{
+    ViewExchange message;
+    message.from = m_context.settings.self.id;
+    message.heldDigest = heldDigest(m_context.store);
+    message.statesHeld = statesHeld;
+    if (statesHeld)
+        message.held = heldSummaries(m_context.store);
+    m_handlers.fillIn(message);
+    return message;
+}
+
+void PeerExchange::send(const Instance &peer, ViewExchange message, Duration timeout,
+                        ReplyHandler onReply)
+{
+    ++m_context.counters.peerCalls;
+    m_context.network.call(peer, std::move(message), timeout,
+                           [this, alive = std::weak_ptr(m_alive), peer, timeout,
+                            startedAt = m_context.timers.now(),
+                            onReply = std::move(onReply)](const PeerOutcome &outcome) {
+                               if (!alive.expired())
+                                   onOutcome(peer, startedAt, timeout, outcome, onReply);
+                           });
+}
+
+void PeerExchange::onOutcome(const Instance &peer, TimePoint startedAt, Duration timeout,
+                             const PeerOutcome &outcome, const ReplyHandler &onReply)
+{
+    const auto *reply = outcome.reply ? std::get_if<ViewExchange>(&*outcome.reply) : nullptr;
+    if (!reply) {
+        noteFailure(peer, m_context.timers.now() - startedAt, timeout);
+        onReply(nullptr);
+        return;
+    }
+    if (evidenceOf(m_context.evidence, peer.id) == Evidence::Unreachable) {
+        noteAnswered(m_context.evidence, peer.id);
+        m_handlers.onEvidence();
+    }
+    absorb(*reply, &peer);
+    sendWanted(peer, reply->wanted);
+    onReply(reply);
+}
+
+/// Sends texts to a peer that can not ask for them by a call, because it does not know this daemon.
+void PeerExchange::sendWanted(const Instance &peer, const std::vector<std::string> &wanted)
+{
+    if (wanted.empty())
+        return;
+    ViewExchange texts = message(false);
+    texts.newer = textsOf(wanted);
+    send(peer, std::move(texts), m_context.settings.gossip.pullTimeout,
+         [](const ViewExchange *) {});
+}
+
+std::vector<Section> PeerExchange::textsOf(const std::vector<std::string> &names)
+{
+    auto sections =
+        sectionsNamed(m_context.store, names, m_context.settings.gossip.maximumMessageBytes);
+    m_context.counters.bytesToPeers += textBytes(sections);
+    return sections;
+}
+
+void PeerExchange::noteFailure(const Instance &peer, Duration elapsed, Duration timeout)
+{
+    ++m_context.counters.peerFailures;
+    // The call should have ended earlier: this process was paused, and the peer may be well.
+    if (elapsed > timeout + m_context.settings.confirm.lateLimit)
+        return;
+    const bool isNews = evidenceOf(m_context.evidence, peer.id) == Evidence::None;
+    noteUnreachable(m_context.evidence, peer.id,
+                    m_context.timers.now() + m_context.settings.gossip.unreachableMemory);
+    if (isNews)
+        m_handlers.onEvidence();
+}
+
+void PeerExchange::absorb(const ViewExchange &message, const Instance *peer)
+{
+    m_handlers.onMessage(message);
+    if (!message.newer.empty()) {
+        m_context.counters.bytesFromPeers += textBytes(message.newer);
+        m_handlers.onSections(message.newer);
+    }
+    if (peer && message.statesHeld)
+        pullFrom(*peer, sectionsWantedFrom(m_context.store, message.held));
+}
+
+void PeerExchange::pullFrom(const Instance &peer, const std::vector<SectionSummary> &wanted)
+{
+    const auto names = startPulls(peer, wanted);
+    if (names.empty())
+        return;
+    ViewExchange request = message(false);
+    request.wanted = names;
+    send(peer, std::move(request), m_context.settings.gossip.pullTimeout,
+         [this, names](const ViewExchange *reply) { onPulled(names, reply != nullptr); });
+}
+
+/// Marks sections as asked for. Those that are on their way already are left out, and the peer is
+/// kept as another source of them.
+std::vector<std::string> PeerExchange::startPulls(const Instance &peer,
+                                                  const std::vector<SectionSummary> &wanted)
+{
+    std::vector<std::string> names;
+    for (const SectionSummary &summary : wanted) {
+        const auto pull = m_pulls.find(summary.name);
+        if (pull == m_pulls.end()) {
+            m_pulls[summary.name] = Pull{summary, {}};
+            names.push_back(summary.name);
+            continue;
+        }
+        if (isOlder(pull->second.wanted, summary))
+            pull->second.wanted = summary;
+        if (pull->second.others.size() < maximumOthers)
+            pull->second.others.push_back(peer);
+    }
+    return names;
+}
+
+/// Ends pulls. What did not come, or came in an older value than another peer has, is asked for
+/// again from that one.
+void PeerExchange::onPulled(const std::vector<std::string> &names, bool isAnswered)
+{
+    std::map<InstanceId, Instance> others;
+    for (const std::string &name : names) {
+        auto pull = m_pulls.extract(name);
+        if (pull.empty())
+            continue;
+        const bool isMissing = !sectionsWantedFrom(m_context.store, {pull.mapped().wanted}).empty();
+        if (isMissing || !isAnswered) {
+            for (const Instance &other : pull.mapped().others)
+                others.emplace(other.id, other);
+        }
+    }
+    for (const auto &[id, other] : others)
+        compare(other, [](const Comparison &) {});
+}
+
+} // namespace oleander
--- /dev/null
+++ b/modules/node/src/control/PlatformWatcher.cpp
@@ -0,0 +1,124 @@
+#include "PlatformWatcher.h"
+
+#include <algorithm>
+
+namespace oleander {
+
+PlatformWatcher::PlatformWatcher(Ports ports, const PlatformRules &rules, ControlCounters &counters,
+                                 ValueHandler onValue, VersionSource seen)
+    : m_ports(ports)
+    , m_rules(rules)
+    , m_counters(counters)
+    , m_onValue(std::move(onValue))
+    , m_seen(std::move(seen))
+{
+}
+
+void PlatformWatcher::watchOnly(const std::map<std::string, Duration> &duties)
+{
+    for (auto &[name, watch] : m_watches) {
+        if (!duties.contains(name)) {
+            watch.isWanted = false;
+            watch.next.reset();
+        }
+    }
+    std::erase_if(m_watches,
+                  [](const auto &item) { return !item.second.isWanted && !item.second.isWaiting; });
+    for (const auto &[name, wait] : duties) {
+        Watch &watch = m_watches[name];
+        watch.wait = wait;
+        if (watch.isWanted)
+            continue;
+        watch.isWanted = true;
+        if (!watch.isWaiting)
+            startLater(name, Duration{});
+    }
+}
+
+void PlatformWatcher::readOnce(const std::string &name, std::function<void(bool)> done)
+{
+    ++m_counters.platformCalls;
+    m_ports.platform.read(name, [this, alive = std::weak_ptr(m_alive), name,
+                                 done = std::move(done)](PlatformValue value) {
+        if (alive.expired())
+            return;
+        const bool isAnswered = noteAnswer(value);
+        deliver(name, std::move(value));
+        done(isAnswered);
+    });
+}
+
+void PlatformWatcher::startLater(const std::string &name, Duration delay)
+{
+    m_watches[name].next =
+        m_ports.timers.callAfter(delay, [this, name](const TimerTick &) { start(name); });
+}
+
+void PlatformWatcher::start(const std::string &name)
+{
+    Watch &watch = m_watches[name];
+    watch.isWaiting = true;
+    watch.startedAt = m_ports.timers.now();
+    ++m_counters.platformCalls;
+    m_ports.platform.watch(name, m_seen(name), watch.wait,
+                           [this, alive = std::weak_ptr(m_alive), name](PlatformValue value) {
+                               if (!alive.expired())
+                                   onAnswer(name, std::move(value));
+                           });
+}
+
+void PlatformWatcher::onAnswer(const std::string &name, PlatformValue value)
+{
+    noteAnswer(value);
+    const PlatformStatus status = value.status;
+    const ValueUse use = deliver(name, std::move(value));
+    const auto found = m_watches.find(name);
+    if (found == m_watches.end())
+        return;
+    Watch &watch = found->second;
+    watch.isWaiting = false;
+    if (!watch.isWanted)
+        m_watches.erase(found);
+    else
+        startLater(name, delayAfter(watch, status, use));
+}
+
+bool PlatformWatcher::noteAnswer(const PlatformValue &value)
+{
+    const bool isAnswered = value.status != PlatformStatus::Unreachable;
+    if (isAnswered)
+        m_answeredAt = m_ports.timers.now();
+    else
+        ++m_counters.platformFailures;
+    if (isAnswered != m_isReachable) {
+        m_isReachable = isAnswered;
+        m_ports.events.record(isAnswered ? EventId::PlatformReachable
+                                         : EventId::PlatformUnreachable,
+                              "configuration service");
+    }
+    return isAnswered;
+}
+
+Duration PlatformWatcher::delayAfter(Watch &watch, PlatformStatus status, ValueUse use)
+{
+    const bool isGood = status == PlatformStatus::NotChanged
+                        || (status == PlatformStatus::Ok && use == ValueUse::Seen);
+    const Duration gap = watch.startedAt + m_rules.minimumGap - m_ports.timers.now();
+    if (isGood) {
+        watch.failures = 0;
+        return std::max(gap, Duration{});
+    }
+    ++watch.failures;
+    const Duration delay = backoffDelay(watch.failures, m_rules.backoff, m_ports.random.next());
+    return std::max(gap, delay);
+}
+
+ValueUse PlatformWatcher::deliver(const std::string &name, PlatformValue value)
+{
+    if (value.status != PlatformStatus::Ok)
+        return ValueUse::Seen;
+    m_counters.bytesFromPlatform += value.body.size();
+    return m_onValue(name, std::move(value));
+}
+
+} // namespace oleander
--- /dev/null
+++ b/modules/node/src/control/SectionNames.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <oleander/core/Ids.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace oleander::sections {
+
+/// The platform's keys. See docs/design/published-formats.md.
+inline constexpr std::string_view config = "config";
+inline constexpr std::string_view instances = "instances";
+inline constexpr std::string_view services = "services";
+inline constexpr std::string_view partitionsPrefix = "partitions/";
+
+/// The key of a service's partition map.
+inline std::string partitionsOf(const ServiceId &service)
+{
+    return std::string(partitionsPrefix) + service.text();
+}
+
+/// The service whose partition map has this key, or nothing for other keys.
+inline std::optional<ServiceId> serviceOf(std::string_view name)
+{
+    if (!name.starts_with(partitionsPrefix) || name.size() == partitionsPrefix.size())
+        return std::nullopt;
+    return ServiceId(std::string(name.substr(partitionsPrefix.size())));
+}
+
+} // namespace oleander::sections
--- /dev/null
+++ b/modules/node/tests/control/SmallFleet.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <string>
+#include <support/ControlFleet.h>
+#include <support/PlainParsers.h>
+
+namespace oleander::testing {
+
+/// Daemons i0, i1, ... spread over data centres dc0, dc1, ..., in the plain format.
+struct SmallFleet : ControlFleet
+{
+    SmallFleet(int count, int dataCentres, std::uint64_t seed = 1)
+        : ControlFleet(plainParsers(), seed)
+        , size(count)
+        , dataCentreCount(dataCentres)
+    {
+        settings.fleet = FleetId("fleet");
+        platform.publish("config", "fleet first");
+        platform.publish("services", "s0 s1 s2");
+        for (int number = 0; number < 3; ++number)
+            platform.publish("partitions/s" + std::to_string(number),
+                             "s" + std::to_string(number) + " 1");
+        publishInstances();
+    }
+
+    int size;
+    int dataCentreCount;
+
+    [[nodiscard]] Instance instance(int number) const
+    {
+        const std::string id = "i" + std::to_string(number);
+        const std::string dataCentre = "dc" + std::to_string(number % dataCentreCount);
+        return {InstanceId(id), DataCentreId(dataCentre), id + ":peer", id + ":pages", false};
+    }
+
+    void publishInstances()
+    {
+        std::string lines;
+        for (int number = 0; number < size; ++number) {
+            const Instance listed = instance(number);
+            lines += listed.id.text() + " " + listed.dataCentre.text() + "\n";
+        }
+        platform.publish("instances", lines);
+    }
+
+    void startAll()
+    {
+        for (int number = 0; number < size; ++number)
+            start(instance(number));
+    }
+
+    /// Starts all and waits until they are ready.
+    bool startReady()
+    {
+        startAll();
+        return scheduler.runUntil([this] { return allReady(); }, seconds(10));
+    }
+
+    /// Cuts the daemons with numbers below `border` from the others.
+    void split(int border)
+    {
+        wire.isCut = [border](const Instance &left, const Instance &right) {
+            const auto number = [](const Instance &item) {
+                return std::stoi(item.id.text().substr(1));
+            };
+            return (number(left) < border) != (number(right) < border);
+        };
+    }
+    void heal()
+    {
+        wire.isCut = [](const Instance &, const Instance &) { return false; };
+    }
+};
+
+} // namespace oleander::testing
--- /dev/null
+++ b/modules/node/tests/support/FakePlatform.h
@@ -0,0 +1,175 @@
+#pragma once
+
+#include <oleander/ports/PlatformReader.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <support/VirtualTimer.h>
+#include <utility>
+
+namespace oleander::testing {
+
+/// The platform's configuration service in virtual time. It can be down, slow, or answer from an
+/// old copy, and counts what it is asked.
+class FakePlatform
+{
+public:
+    explicit FakePlatform(VirtualScheduler &scheduler)
+        : m_scheduler(scheduler)
+    {
+    }
+
+    // Operators
+    /// Publishes a value; the version rises by one, also when several write at once.
+    SectionVersion publish(const std::string &key, std::string body)
+    {
+        Value &value = m_values[key];
+        value.version = SectionVersion(value.version.value() + 1);
+        value.body = std::move(body);
+        wake(key);
+        return value.version;
+    }
+    [[nodiscard]] SectionVersion versionOf(const std::string &key) { return m_values[key].version; }
+
+    // Faults
+    void setDown(bool isDown) { m_isDown = isDown; }
+    void setLatency(Duration latency) { m_latency = latency; }
+    /// From now on answers as of now, until endStale().
+    void beginStale() { m_stale = std::make_unique<Values>(m_values); }
+    void endStale()
+    {
+        m_stale.reset();
+        for (const auto &[key, value] : m_values)
+            wake(key);
+    }
+
+    // Counts
+    std::uint64_t calls = 0;
+    std::size_t mostWaiting = 0;
+    [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
+
+    // For readers
+    void read(const std::string &key, SectionVersion after, Duration wait, PlatformCallback reply)
+    {
+        ++calls;
+        Waiting entry{key, after, ++m_sequence, std::move(reply)};
+        const auto number = entry.sequence;
+        m_waiting.push_back(std::move(entry));
+        mostWaiting = std::max(mostWaiting, m_waiting.size());
+        m_scheduler.schedule(m_scheduler.now() + m_latency, [this, key] { wake(key); });
+        m_scheduler.schedule(m_scheduler.now() + m_latency + wait, [this, number] { end(number); });
+    }
+
+private:
+    struct Value
+    {
+        SectionVersion version;
+        std::string body;
+    };
+    using Values = std::map<std::string, Value>;
+    struct Waiting
+    {
+        std::string key;
+        SectionVersion after;
+        std::uint64_t sequence;
+        PlatformCallback reply;
+    };
+
+    [[nodiscard]] PlatformValue answerTo(const Waiting &entry) const
+    {
+        if (m_isDown)
+            return {PlatformStatus::Unreachable, {}, {}};
+        const Values &values = m_stale ? *m_stale : m_values;
+        const auto found = values.find(entry.key);
+        if (found == values.end())
+            return {PlatformStatus::NotFound, {}, {}};
+        if (found->second.version <= entry.after)
+            return {PlatformStatus::NotChanged, {}, {}};
+        return {PlatformStatus::Ok, found->second.version, found->second.body};
+    }
+
+    /// Answers those who wait for this key and need not wait longer.
+    void wake(const std::string &key)
+    {
+        for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
+            const auto current = entry++;
+            if (current->key != key)
+                continue;
+            PlatformValue value = answerTo(*current);
+            if (value.status != PlatformStatus::NotChanged)
+                answer(current, std::move(value));
+        }
+    }
+
+    void end(std::uint64_t number)
+    {
+        const auto found = std::ranges::find(m_waiting, number, &Waiting::sequence);
+        if (found != m_waiting.end())
+            answer(found, answerTo(*found));
+    }
+
+    void answer(std::list<Waiting>::iterator entry, PlatformValue value)
+    {
+        m_scheduler.schedule(
+            m_scheduler.now() + m_latency,
+            [reply = std::move(entry->reply), value = std::move(value)] { reply(value); });
+        m_waiting.erase(entry);
+    }
+
+    VirtualScheduler &m_scheduler;
+    Values m_values;
+    std::unique_ptr<Values> m_stale;
+    std::list<Waiting> m_waiting;
+    std::uint64_t m_sequence = 0;
+    bool m_isDown = false;
+    Duration m_latency = milliseconds(3);
+};
+
+/// One daemon's reader. Answers wait while the daemon is paused and are lost when it is gone.
+class FakePlatformReader final : public PlatformReader
+{
+public:
+    FakePlatformReader(FakePlatform &platform, std::shared_ptr<VirtualTimer> timer)
+        : m_platform(platform)
+        , m_timer(std::move(timer))
+    {
+    }
+
+    /// While cut, this daemon does not reach the platform.
+    void setCut(bool isCut) { m_isCut = isCut; }
+
+    void read(const std::string &key, PlatformCallback callback) override
+    {
+        request(key, {}, {}, std::move(callback));
+    }
+    void watch(const std::string &key, SectionVersion after, Duration wait,
+               PlatformCallback callback) override
+    {
+        request(key, after, wait, std::move(callback));
+    }
+
+private:
+    void request(const std::string &key, SectionVersion after, Duration wait,
+                 PlatformCallback callback)
+    {
+        const auto deliver = [timer = std::weak_ptr(m_timer),
+                              callback = std::move(callback)](const PlatformValue &value) {
+            if (const auto alive = timer.lock())
+                alive->deliverAt(alive->now(), [callback, value] { callback(value); });
+        };
+        if (m_isCut)
+            m_timer->deliverAt(m_timer->now() + seconds(1), [deliver] { deliver({}); });
+        else
+            m_platform.read(key, after, wait, deliver);
+    }
+
+    FakePlatform &m_platform;
+    std::shared_ptr<VirtualTimer> m_timer;
+    bool m_isCut = false;
+};
+
+} // namespace oleander::testing
--- a/modules/ports/include/oleander/ports/PeerMessage.h
+++ b/modules/ports/include/oleander/ports/PeerMessage.h
@@ -49,7 +49,8 @@
 /// Exchanged between peers each second and on each change, as request and as reply.
 ///
 /// A message says what its sender holds, by one digest or in full, and may ask for the texts of
-/// sections. A side that learns of a newer value asks for it, so that texts travel only when wanted.
+/// sections. A side that learns of a newer value asks for it, so that texts travel only when
+/// wanted.
 struct ViewExchange
 {
     InstanceId from;
