--- a/modules/node/tests/control/ControlNodeTest.cpp
+++ b/modules/node/tests/control/ControlNodeTest.cpp
@@ -1,4 +1,4 @@
-#include "SmallFleet.h"
+#include <control/support/SmallFleet.h>
 
 #include <gtest/gtest.h>
 
--- a/modules/node/tests/support/ControlFleet.h
+++ b/modules/node/tests/control/support/ControlFleet.h
@@ -8,8 +8,8 @@
 #include <random>
 #include <set>
 #include <string>
-#include <support/FakePeers.h>
-#include <support/FakePlatform.h>
+#include <control/support/FakePeers.h>
+#include <control/support/FakePlatform.h>
 #include <utility>
 #include <vector>
 
--- a/modules/node/tests/support/FakePeers.h
+++ b/modules/node/tests/control/support/FakePeers.h
@@ -7,7 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <support/MessageSize.h>
+#include <control/support/MessageSize.h>
 #include <support/VirtualTimer.h>
 #include <utility>
 
--- a/modules/node/tests/control/SmallFleet.h
+++ b/modules/node/tests/control/support/SmallFleet.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <string>
-#include <support/ControlFleet.h>
-#include <support/PlainParsers.h>
+#include <control/support/ControlFleet.h>
+#include <control/support/PlainParsers.h>
 
 namespace oleander::testing {
 
