--- a/standins/include/oleander/standins/ServerFleet.h
+++ b/standins/include/oleander/standins/ServerFleet.h
@@ -33,7 +33,8 @@
     /// Starts one server and returns its port.
     std::optional<std::uint16_t> addServer(const Server &server, Reason &reason);
     /// Starts every server named in partitions/<service>.json that does not run yet, and returns
-    /// how many that were.
+    /// how many that were. The file servers.json of the folder, if there, gives the cost of a new
+    /// connection to each server, as {"<server>": {"connectionUs": 6000}}.
     std::optional<int> addFolder(const std::string &folder, Reason &reason);
     std::optional<std::uint16_t> listenAdmin(const std::string &address, Reason &reason);
 
--- a/standins/src/ServerFleet.cpp
+++ b/standins/src/ServerFleet.cpp
@@ -51,6 +51,14 @@
     return server;
 }
 
+/// Connection costs by server from the folder's servers.json; empty when there is no such file.
+json costsOfFolder(const std::string &folder)
+{
+    std::ifstream file(std::filesystem::path(folder) / "servers.json");
+    auto costs = json::parse(file, nullptr, false);
+    return costs.is_object() ? costs : json::object();
+}
+
 std::optional<std::vector<Server>> serversOfFile(const std::filesystem::path &path, Reason &reason)
 {
     std::vector<Server> servers;
@@ -99,6 +107,7 @@
     void onAdmin(const HttpRequest &request, const HttpResponder &respond);
     HttpResponse adminResponse(const HttpRequest &request);
     HttpResponse executedResponse(const std::string &body);
+    [[nodiscard]] ServerShape shapeOf(const std::string &server) const;
 
     ServerFleet *fleet = nullptr;
     ServerShape shape;
@@ -110,8 +119,18 @@
     std::mutex mutex;
     std::map<std::string, Entry> servers;
     std::string folder;
+    /// By server: {"connectionUs": cost of a new connection}.
+    json costs = json::object();
 };
 
+ServerShape ServerFleet::State::shapeOf(const std::string &server) const
+{
+    auto result = shape;
+    if (costs.contains(server))
+        result.connectionCost = Duration(costs[server].value("connectionUs", 0));
+    return result;
+}
+
 void ServerFleet::State::onAdmin(const HttpRequest &request, const HttpResponder &respond)
 {
     respond(adminResponse(request));
@@ -189,8 +208,8 @@
     auto &worker = m_state->workers[m_state->servers.size() % m_state->workers.size()];
     entry.context = &worker->context;
     return callOn(*entry.context, [&]() {
-        entry.server = std::make_unique<ServerStandin>(*entry.context, server, m_state->shape,
-                                                       m_state->ledger);
+        entry.server = std::make_unique<ServerStandin>(
+            *entry.context, server, m_state->shapeOf(server.id.text()), m_state->ledger);
         return entry.server->listen(reason);
     });
 }
@@ -198,6 +217,7 @@
 std::optional<int> ServerFleet::addFolder(const std::string &folder, Reason &reason)
 {
     m_state->folder = folder;
+    m_state->costs = costsOfFolder(folder);
     int added = 0;
     std::error_code error;
     const auto maps = std::filesystem::path(folder) / "partitions";
