--- a/modules/adapters/include/oleander/adapters/metrics/BurnKeeper.h
+++ b/modules/adapters/include/oleander/adapters/metrics/BurnKeeper.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <oleander/adapters/metrics/QueryMetrics.h>
-#include <oleander/burn/DaemonBurn.h>
 #include <oleander/ports/TimerService.h>
+#include <oleander/reports/DaemonBurn.h>
 
 #include <map>
 
--- a/modules/adapters/include/oleander/adapters/metrics/QueryMetrics.h
+++ b/modules/adapters/include/oleander/adapters/metrics/QueryMetrics.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <oleander/burn/BurnCounts.h>
 #include <oleander/core/ErrorKind.h>
 #include <oleander/ports/QueryObserver.h>
 #include <oleander/ports/ViewSource.h>
+#include <oleander/reports/BurnCounts.h>
 
 #include <array>
 #include <cstdint>
--- a/modules/burn/include/oleander/burn/BurnCounts.h
+++ b/modules/reports/include/oleander/reports/BurnCounts.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <oleander/burn/LatencyHistogram.h>
 #include <oleander/core/Policy.h>
 #include <oleander/core/Query.h>
+#include <oleander/reports/LatencyHistogram.h>
 
 #include <cstdint>
 
--- a/modules/burn/include/oleander/burn/BurnHistory.h
+++ b/modules/reports/include/oleander/reports/BurnHistory.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <oleander/burn/BurnCounts.h>
+#include <oleander/reports/BurnCounts.h>
 
 #include <array>
 #include <deque>
--- a/modules/burn/include/oleander/burn/DaemonBurn.h
+++ b/modules/reports/include/oleander/reports/DaemonBurn.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <oleander/burn/BurnHistory.h>
 #include <oleander/core/Ids.h>
 #include <oleander/core/Reason.h>
+#include <oleander/reports/BurnHistory.h>
 
 #include <array>
 #include <optional>
--- a/modules/burn/src/BurnCounts.cpp
+++ b/modules/reports/src/BurnCounts.cpp
@@ -1,4 +1,4 @@
-#include <oleander/burn/BurnCounts.h>
+#include <oleander/reports/BurnCounts.h>
 
 #include <cassert>
 
--- a/modules/burn/src/BurnHistory.cpp
+++ b/modules/reports/src/BurnHistory.cpp
@@ -1,4 +1,4 @@
-#include <oleander/burn/BurnHistory.h>
+#include <oleander/reports/BurnHistory.h>
 
 #include <algorithm>
 
--- a/modules/burn/src/DaemonBurn.cpp
+++ b/modules/reports/src/DaemonBurn.cpp
@@ -1,4 +1,4 @@
-#include <oleander/burn/DaemonBurn.h>
+#include <oleander/reports/DaemonBurn.h>
 
 #include <nlohmann/json.hpp>
 
--- a/modules/burn/src/LatencyHistogram.cpp
+++ b/modules/reports/src/LatencyHistogram.cpp
@@ -1,4 +1,4 @@
-#include <oleander/burn/LatencyHistogram.h>
+#include <oleander/reports/LatencyHistogram.h>
 
 #include <boost/histogram.hpp>
 
--- a/modules/burn/tests/BurnTest.cpp
+++ b/modules/reports/tests/BurnTest.cpp
@@ -1,5 +1,5 @@
-#include <oleander/burn/BurnHistory.h>
-#include <oleander/burn/DaemonBurn.h>
+#include <oleander/reports/BurnHistory.h>
+#include <oleander/reports/DaemonBurn.h>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
