--- a/bench/programs/server-path.cpp
+++ b/bench/programs/server-path.cpp
@@ -1,4 +1,5 @@
 #include <oleander/bench/AdapterPath.h>
+#include <oleander/bench/CoordinatorPath.h>
 
 #include <cxxopts.hpp>
 
@@ -16,7 +17,7 @@
 
 void print(const char *form, const PathRate &rate)
 {
-    std::printf("%-8s %9.0f exchanges/s  %6.2f us processor each\n", form, rate.perSecond(),
+    std::printf("%-11s %9.0f exchanges/s  %6.2f us processor each\n", form, rate.perSecond(),
                 rate.processorMicros());
 }
 
@@ -28,6 +29,13 @@
     return rates[rates.size() / 2];
 }
 
+void compare(const char *form, const PathRate &rate, const PathRate &bare)
+{
+    std::printf("median: %s at %.2f of bare by rate, %.2f by processor time\n", form,
+                rate.perSecond() / bare.perSecond(),
+                bare.processorMicros() / rate.processorMicros());
+}
+
 int run(const cxxopts::ParseResult &arguments)
 {
     AdapterPathShape shape;
@@ -39,17 +47,18 @@
                 sizes.replyBytes, sizes.connections);
     std::vector<PathRate> bare;
     std::vector<PathRate> adapter;
+    std::vector<PathRate> coordinator;
     for (int round = 0; round < arguments["rounds"].as<int>(); ++round) {
         bare.push_back(runBarePath(sizes, length));
         print("bare", bare.back());
         adapter.push_back(runAdapterPath(shape, length));
         print("adapter", adapter.back());
+        coordinator.push_back(runCoordinatorPath(shape, arguments["queries"].as<int>(), length));
+        print("coordinator", coordinator.back());
     }
     const auto bareMedian = median(bare);
-    const auto adapterMedian = median(adapter);
-    std::printf("median: adapter at %.2f of bare by rate, %.2f by processor time\n",
-                adapterMedian.perSecond() / bareMedian.perSecond(),
-                bareMedian.processorMicros() / adapterMedian.processorMicros());
+    compare("adapter", median(adapter), bareMedian);
+    compare("coordinator", median(coordinator), bareMedian);
     return 0;
 }
 
@@ -62,6 +71,7 @@
     auto add = options.add_options();
     add("connections", "connections", cxxopts::value<int>()->default_value("64"));
     add("server-threads", "threads of the other side", cxxopts::value<int>()->default_value("3"));
+    add("queries", "queries under way", cxxopts::value<int>()->default_value("3"));
     add("seconds", "length of a run", cxxopts::value<int>()->default_value("2"));
     add("rounds", "runs of each form", cxxopts::value<int>()->default_value("3"));
     add("help", "prints this");
