Daemon: control thread and workers of one process

Cause: the thin path as separate processes. Change: module daemon puts control node, query nodes, platform reader, callers' and operators' servers together; workers see peers through the control thread by posted tasks; graceful stop with a lame-duck second; /readyz and /status. Peers are not yet reached: an unreachable peer network stands in their place.

--- /dev/null
+++ b/modules/daemon/src/Daemon.cpp
@@ -0,0 +1,257 @@
+#include "PeerRouter.h"
+#include "StatusPage.h"
+#include "UnreachablePeers.h"
+#include "ViewBoard.h"
+#include "Worker.h"
+
+#include <oleander/adapters/operators/OperatorServer.h>
+#include <oleander/adapters/platform/AsioPlatformReader.h>
+#include <oleander/daemon/Daemon.h>
+#include <oleander/node/ControlNode.h>
+#include <oleander/settings/InstanceListParser.h>
+#include <oleander/settings/PartitionMapParser.h>
+#include <oleander/settings/PolicySetParser.h>
+
+#include <algorithm>
+#include <atomic>
+#include <future>
+
+namespace oleander {
+
+namespace {
+
+/// Between "not ready" and the end of listening, so that the balancer can move away.
+constexpr Duration lameDuckTime = milliseconds(1000);
+
+SectionParsers sectionParsers()
+{
+    SectionParsers parsers;
+    parsers.policySet = parsePolicySet;
+    parsers.instanceList = parseInstanceList;
+    parsers.serviceNames = [](std::string_view text, SectionVersion, Reason &reason) {
+        return parseServiceNames(text, reason);
+    };
+    parsers.partitionMap = parsePartitionMap;
+    return parsers;
+}
+
+ControlSettings controlSettings(const DaemonSettings &settings)
+{
+    ControlSettings control;
+    control.self.id = settings.instance;
+    control.self.dataCentre = settings.dataCentre;
+    control.self.peerAddress = settings.peerAddress;
+    control.self.operatorAddress = settings.operatorAddress;
+    control.fleet = settings.fleet;
+    return control;
+}
+
+/// Counts nothing.
+class NoObserver final : public QueryObserver
+{
+public:
+    void onQueryFinished(const Query &, const Answer &, Duration) override {}
+    void onSubRequestFinished(const SubRequestRecord &) override {}
+};
+
+class NoLog final : public EventLog
+{
+public:
+    void record(EventId, const RequestId &, std::string_view) override {}
+};
+
+} // namespace
+
+struct Daemon::Impl
+{
+    explicit Impl(DaemonSettings newSettings)
+        : settings(std::move(newSettings))
+        , timers(control.context())
+        , random(SeededRandom::unpredictable())
+        , platform(control.context(), settings.platformAddresses, PlatformReaderLimits{})
+        , operators(control.context())
+        , node({timers, peers, platform, random, log}, controlSettings(settings), sectionParsers(),
+               hooks())
+        , router(control, node, workers)
+    {
+        for (int number = 0; number < settings.workerThreads; ++number)
+            workers.push_back(std::make_unique<Worker>(workerShared(), identityOf(number)));
+        peers.setHandler(&router);
+        addPages();
+    }
+
+    ControlNode::Hooks hooks()
+    {
+        ControlNode::Hooks made;
+        made.viewPublished = [this](std::shared_ptr<const FleetView> view) {
+            board.publish(std::move(view));
+        };
+        made.crashReported = [this](const CrashNotice &notice) {
+            for (const auto &worker : workers)
+                worker->takeCrashNotice(notice);
+        };
+        return made;
+    }
+
+    Worker::Shared workerShared()
+    {
+        return {control,
+                peers,
+                board,
+                log,
+                observer,
+                [this](PeerRequest request, std::shared_ptr<PeerResponder> responder) {
+                    routeLocally(std::move(request), std::move(responder));
+                }};
+    }
+
+    QueryNode::Identity identityOf(int worker) const
+    {
+        return {settings.instance, settings.dataCentre, worker, settings.workerThreads};
+    }
+
+    /// Called on any worker's thread.
+    void routeLocally(PeerRequest request, std::shared_ptr<PeerResponder> responder)
+    {
+        auto *query = std::get_if<PeerQuery>(&request);
+        if (!query) {
+            responder->refuse();
+            return;
+        }
+        Worker &worker = workerOf(workers, query->query.service);
+        worker.takePeerQuery(std::move(*query), std::move(responder));
+    }
+
+    void addPages()
+    {
+        operators.addPage("/readyz", [this](const std::string &) { return readyPage(); });
+        operators.addDeferredPage(
+            "/status", [this](const std::string &, auto reply) { collectStatus(reply); });
+    }
+
+    OperatorPage readyPage() const
+    {
+        OperatorPage page;
+        const ControlStatus status = node.status();
+        if (status.isReady && !status.isStopping) {
+            page.body = "ready\n";
+            return page;
+        }
+        page.status = 503;
+        page.body = status.isStopping ? "stopping\n" : status.notReadyReason + "\n";
+        return page;
+    }
+
+    void collectStatus(const std::function<void(OperatorPage)> &reply)
+    {
+        auto collected = std::make_shared<std::vector<QueryNodeStatus>>();
+        for (const auto &worker : workers) {
+            worker->readStatus([this, collected, reply](const QueryNodeStatus &status) {
+                control.post([this, collected, reply, status] {
+                    collected->push_back(status);
+                    if (collected->size() < workers.size())
+                        return;
+                    OperatorPage page;
+                    page.contentType = "application/json";
+                    page.body = statusPage(settings, node.status(), *collected);
+                    reply(std::move(page));
+                });
+            });
+        }
+    }
+
+    bool start(Reason &reason)
+    {
+        if (!operators.listen(settings.operatorAddress, reason))
+            return false;
+        node.start();
+        for (const auto &worker : workers) {
+            if (!worker->start(settings.callerAddress, reason))
+                return false;
+        }
+        controlThread = std::thread([this] { control.run(); });
+        return true;
+    }
+
+    void beginStop()
+    {
+        control.post([this] {
+            if (isStopping)
+                return;
+            isStopping = true;
+            node.beginStop();
+            peers.beginStop();
+            lameDuck = timers.callAfter(lameDuckTime, [this](const TimerTick &) { stopWorkers(); });
+        });
+    }
+
+    void stopWorkers()
+    {
+        for (const auto &worker : workers) {
+            worker->beginStop([this] {
+                if (idleWorkers.fetch_add(1) + 1 == settings.workerThreads)
+                    control.post([this] { ended.set_value(); });
+            });
+        }
+    }
+
+    void wait()
+    {
+        ended.get_future().wait();
+        end();
+    }
+
+    void end()
+    {
+        for (const auto &worker : workers)
+            worker->join();
+        control.stop();
+        if (controlThread.joinable())
+            controlThread.join();
+    }
+
+    ~Impl() { end(); }
+
+    DaemonSettings settings;
+    NoLog log;
+    NoObserver observer;
+    ViewBoard board;
+    EventLoop control;
+    AsioTimerService timers;
+    SeededRandom random;
+    UnreachablePeers peers{timers};
+    AsioPlatformReader platform;
+    OperatorServer operators;
+    std::vector<std::unique_ptr<Worker>> workers;
+    ControlNode node;
+    PeerRouter router;
+    std::thread controlThread;
+    Subscription lameDuck;
+    bool isStopping = false;
+    std::atomic<int> idleWorkers = 0;
+    std::promise<void> ended;
+};
+
+Daemon::Daemon(DaemonSettings settings)
+    : m_impl(std::make_unique<Impl>(std::move(settings)))
+{
+}
+
+Daemon::~Daemon() = default;
+
+bool Daemon::start(Reason &reason)
+{
+    return m_impl->start(reason);
+}
+
+void Daemon::beginStop()
+{
+    m_impl->beginStop();
+}
+
+void Daemon::wait()
+{
+    m_impl->wait();
+}
+
+} // namespace oleander
--- /dev/null
+++ b/modules/daemon/src/ViewBoard.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <oleander/adapters/concurrency/Published.h>
+#include <oleander/ports/ViewSource.h>
+
+namespace oleander {
+
+/// The view in force, written by the control thread and read by all workers without a lock.
+class ViewBoard final : public ViewSource
+{
+public:
+    [[nodiscard]] std::shared_ptr<const FleetView> view() const override { return m_view.read(); }
+    void publish(std::shared_ptr<const FleetView> view) { m_view.publish(std::move(view)); }
+
+private:
+    Published<FleetView> m_view;
+};
+
+} // namespace oleander
--- /dev/null
+++ b/modules/daemon/src/Worker.cpp
@@ -0,0 +1,77 @@
+#include "Worker.h"
+
+namespace oleander {
+
+Worker::Worker(const Shared &shared, const QueryNode::Identity &identity)
+    : m_timers(m_loop.context())
+    , m_servers(m_loop.context(), ServerNetworkLimits{})
+    , m_random(SeededRandom::unpredictable())
+    , m_peers(m_loop, shared.control, shared.network, identity.instance, shared.routeLocally)
+    , m_node({m_timers, m_servers, m_peers, m_random, shared.views, shared.log, shared.observer},
+             identity)
+    , m_callers(m_loop.context(), m_node, shared.log, HttpLimits{})
+{
+}
+
+Worker::~Worker()
+{
+    join();
+}
+
+bool Worker::start(const std::string &callerAddress, Reason &reason)
+{
+    if (!m_callers.listen(callerAddress, reason))
+        return false;
+    m_thread = std::thread([this] { m_loop.run(); });
+    return true;
+}
+
+void Worker::beginStop(std::function<void()> whenIdle)
+{
+    m_loop.post([this, whenIdle = std::move(whenIdle)]() mutable {
+        m_callers.beginStop([this, whenIdle = std::move(whenIdle)]() mutable {
+            m_node.beginStop(std::move(whenIdle));
+        });
+    });
+}
+
+void Worker::join()
+{
+    if (!m_thread.joinable())
+        return;
+    m_loop.stop();
+    m_thread.join();
+}
+
+void Worker::takePeerQuery(PeerQuery message, std::shared_ptr<PeerResponder> responder)
+{
+    m_loop.post([this, message = std::move(message), responder = std::move(responder)]() mutable {
+        m_node.onPeerQuery(std::move(message), std::move(responder));
+    });
+}
+
+void Worker::takeCrashNotice(const CrashNotice &notice)
+{
+    m_loop.post([this, notice] { m_node.onCrashNotices({notice}); });
+}
+
+void Worker::readStatus(std::function<void(QueryNodeStatus)> callback)
+{
+    m_loop.post([this, callback = std::move(callback)] { callback(m_node.status()); });
+}
+
+bool Worker::ownsService(const ServiceId &service) const
+{
+    return m_node.ownsService(service);
+}
+
+Worker &workerOf(const std::vector<std::unique_ptr<Worker>> &workers, const ServiceId &service)
+{
+    for (const auto &worker : workers) {
+        if (worker->ownsService(service))
+            return *worker;
+    }
+    return *workers.front();
+}
+
+} // namespace oleander
--- /dev/null
+++ b/programs/oleanderwayd.cpp
@@ -0,0 +1,83 @@
+#include <oleander/daemon/Daemon.h>
+
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <pthread.h>
+#include <sstream>
+
+namespace {
+
+constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+
+/// Blocks the stop signals in this thread and those it starts, so that only main() takes them.
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGTERM);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+std::optional<oleander::DaemonSettings> readSettings(const std::string &path,
+                                                     oleander::Reason &reason)
+{
+    std::ifstream file(path);
+    if (!file) {
+        reason.set(oleander::ErrorKind::BadRequest, "can not be read");
+        return std::nullopt;
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    return oleander::parseDaemonSettings(text.str(), reason);
+}
+
+int run(const std::string &path)
+{
+    const sigset_t signals = blockStopSignals();
+    oleander::Reason reason;
+    auto settings = readSettings(path, reason);
+    if (!settings) {
+        std::cerr << "oleanderwayd: " << path << ": " << reason.text << '\n';
+        return exitUsage;
+    }
+    oleander::Daemon daemon(std::move(*settings));
+    if (!daemon.start(reason)) {
+        std::cerr << "oleanderwayd: " << reason.text << '\n';
+        return exitFailure;
+    }
+    int signal = 0;
+    sigwait(&signals, &signal);
+    daemon.beginStop();
+    daemon.wait();
+    return 0;
+}
+
+} // namespace
+
+int main(int count, char **values)
+{
+    cxxopts::Options options("oleanderwayd", "One daemon of the oleanderway query tier.");
+    options.add_options()("settings", "the daemon's settings file, JSON",
+                          cxxopts::value<std::string>())("help", "prints this");
+    try {
+        const auto arguments = options.parse(count, values);
+        if (arguments.count("help") > 0) {
+            std::cout << options.help();
+            return 0;
+        }
+        if (arguments.count("settings") == 0) {
+            std::cerr << "oleanderwayd: --settings is missing\n";
+            return exitUsage;
+        }
+        return run(arguments["settings"].as<std::string>());
+    } catch (const cxxopts::exceptions::exception &error) {
+        std::cerr << "oleanderwayd: " << error.what() << '\n';
+        return exitUsage;
+    }
+}
