--- a/modules/node/tests/control/ControlNodeTest.cpp
+++ b/modules/node/tests/control/ControlNodeTest.cpp
@@ -1,7 +1,7 @@
-#include <control/support/SmallFleet.h>
-
 #include <gtest/gtest.h>
 
+#include <control/support/SmallFleet.h>
+
 using namespace oleander;
 using oleander::testing::ControlHost;
 using oleander::testing::SmallFleet;
--- a/modules/node/tests/control/support/ControlFleet.h
+++ b/modules/node/tests/control/support/ControlFleet.h
@@ -3,13 +3,13 @@
 #include <oleander/node/ControlNode.h>
 
 #include <algorithm>
+#include <control/support/FakePeers.h>
+#include <control/support/FakePlatform.h>
 #include <map>
 #include <memory>
 #include <random>
 #include <set>
 #include <string>
-#include <control/support/FakePeers.h>
-#include <control/support/FakePlatform.h>
 #include <utility>
 #include <vector>
 
