Entry: a refusal by one coordinator waits for another that is still at work

Cause: after a failover two coordinators work on an idempotent query. When one refused (for example overFairShare) the entry returned 'refused, not run' at once, while the other may have executed it. Ruled out: the coordinators (each told the truth about itself); the fakes' proofs (the answer came as a reply). Change: a refusal or unknown outcome is kept while another call is under way; its answer counts, and the last word is 'maybe run'.

--- a/modules/node/src/entry/QueryEntry.cpp
+++ b/modules/node/src/entry/QueryEntry.cpp
@@ -240,6 +240,13 @@
         onLegEnded(*forwarded, false);
         return;
     }
+    const bool isFailure = answer.outcome == Outcome::Refused || answer.outcome == Outcome::Unknown;
+    if (isFailure && !forwarded->legs.empty()) {
+        // Another coordinator is still at work on it: its answer counts.
+        forwarded->mayHaveRun = forwarded->mayHaveRun || answer.ran != RanState::NotRun;
+        forwarded->lastRefusal = std::move(answer);
+        return;
+    }
     finish(*forwarded, std::move(answer));
 }
 
