Canary: widen to a server that does not run the query yet

Cause: when a canary is slow one more server is asked; replica choice could take the same server again. A frozen server then swallowed both canaries, and the query went to all: a crashing query cost 7 servers. Ruled out: the crash memory (blame came after all had been sent). Change: while only canaries are out, a server that runs the query is not chosen for another shard unless no other is free.

--- a/modules/node/src/coordinator/Dispatch.cpp
+++ b/modules/node/src/coordinator/Dispatch.cpp
@@ -16,6 +16,13 @@
     return std::ranges::find(task.triedServers, server) != task.triedServers.end();
 }
 
+bool isExecuting(const ActiveQuery &active, std::size_t server)
+{
+    return std::ranges::any_of(active.tasks, [&](const ShardTask &task) {
+        return std::ranges::find(task.attempts, server, &Attempt::server) != task.attempts.end();
+    });
+}
+
 } // namespace
 
 void ServiceCoordinator::dispatch(ActiveQuery &active, std::size_t position, bool isExtra)
@@ -53,6 +60,8 @@
             continue;
         if (!allowTried && wasTried(task, index))
             continue;
+        if (!allowTried && active.release == Release::Canary && isExecuting(active, index))
+            continue;
         const PooledServer &server = m_pool.server(index);
         if (active.release == Release::CanaryAlone && server.inFlight > 0)
             continue;
--- a/modules/node/src/coordinator/Ticks.cpp
+++ b/modules/node/src/coordinator/Ticks.cpp
@@ -69,10 +69,15 @@
     active.widenAt = now + step;
     ++active.widened;
     if (active.widened == 1) {
-        // One more server at first: should the query crash servers, this bounds what it costs.
+        // One more server at first: should the query crash servers, this bounds what it costs. Not
+        // the server of the canary, which may be stuck and say nothing of the query.
+        const auto next = std::ranges::find_if(active.tasks, [&](const ShardTask &task) {
+            return task.state == TaskState::Held && pickServer(active, task, false);
+        });
         const auto held = std::ranges::find(active.tasks, TaskState::Held, &ShardTask::state);
-        if (held != active.tasks.end())
-            dispatch(active, static_cast<std::size_t>(held - active.tasks.begin()), false);
+        const auto widened = next == active.tasks.end() ? held : next;
+        if (widened != active.tasks.end())
+            dispatch(active, static_cast<std::size_t>(widened - active.tasks.begin()), false);
         return;
     }
     active.release = Release::All;
