--- a/modules/node/tests/support/FakePeers.h
+++ b/modules/node/tests/support/FakePeers.h
@@ -39,9 +39,15 @@
         InstanceId from;
         InstanceId to;
         VirtualHost *caller = nullptr;
+        /// The process that it was sent to.
+        VirtualHost *peer = nullptr;
         PeerCallback callback;
-        /// Nothing of it left the caller's process.
+        /// What is forwarded, when it is a query.
+        Query query;
+        /// Nothing of it can have come to the peer's handler.
         bool isUnsent = false;
+        /// It came to the peer's process.
+        bool isSeen = false;
         /// Over at the caller's side.
         bool isDone = false;
         std::function<void()> onCancel;
--- a/modules/node/tests/support/History.cpp
+++ b/modules/node/tests/support/History.cpp
@@ -13,4 +13,20 @@
     trace.push_back(time + text);
 }
 
+void History::reach(Step step, const CallerId &caller, const RequestId &request)
+{
+    const bool isFirst = !caller.isEmpty() && reached.emplace(request, step).second;
+    if (isFirst && onStep)
+        onStep(step, request);
+}
+
+void History::reachReply(const CallerId &caller, const RequestId &request, const ShardId &shard)
+{
+    auto &shards = repliedShards[request];
+    shards.insert(shard);
+    reach(Step::PartAnswered, caller, request);
+    if (shards.size() >= shardsAsked)
+        reach(Step::Answered, caller, request);
+}
+
 } // namespace oleander::fakes
--- a/modules/node/tests/support/History.h
+++ b/modules/node/tests/support/History.h
@@ -1,16 +1,31 @@
 #pragma once
 
-#include "VirtualClock.h"
+#include "VirtualHost.h"
 
 #include <oleander/core/FleetView.h>
 #include <oleander/core/Query.h>
 #include <oleander/core/SubRequest.h>
+#include <oleander/ports/QueryHandler.h>
 
 #include <memory>
 #include <set>
 
 namespace oleander::fakes {
 
+/// What a query has come to. The columns of the fault matrix.
+enum class Step {
+    Accepted,
+    Planned,
+    Forwarded,
+    Queued,
+    Sent,
+    PartAnswered,
+    Answered,
+    Merged,
+    Returned,
+};
+constexpr int stepCount = 9;
+
 /// One attempt of a caller: what it sent to which daemon, and what came back.
 struct Submission
 {
@@ -20,10 +35,14 @@
     Query query;
     std::optional<Answer> answer;
     TimePoint answeredAt;
+    QueryTicket ticket;
+    bool isDoublyAnswered = false;
     /// The caller took it back.
     bool isAbandoned = false;
-    /// The daemon was killed, or frozen past the deadline, before it answered.
+    /// The entry was killed before it answered.
     bool isEntryLost = false;
+    /// The process that took it, which may have been paused.
+    const VirtualHost *entry = nullptr;
 };
 
 /// A sub-request as it left a daemon, or as a backend server began to execute it.
@@ -55,6 +74,11 @@
     /// Adds a line to the trace, with the time since the start in milliseconds.
     void note(const std::string &text);
 
+    /// The request has come to a step; calls onStep the first time.
+    void reach(Step step, const CallerId &caller, const RequestId &request);
+    /// A shard's reply was taken: part answered, or answered when `shardsAsked` have come.
+    void reachReply(const CallerId &caller, const RequestId &request, const ShardId &shard);
+
     const VirtualClock &clock;
     TimePoint start;
     /// Pointers into it stay valid.
@@ -68,6 +92,11 @@
     std::set<ServerId> crashedServers;
     /// Most connections that a server held at once beyond its cap.
     int refusedConnections = 0;
+    /// Called inside the event that reaches the step, so it must only schedule.
+    std::function<void(Step, const RequestId &)> onStep;
+    std::set<std::pair<RequestId, Step>> reached;
+    std::map<RequestId, std::set<ShardId>> repliedShards;
+    std::size_t shardsAsked = 0;
     bool isTracing = false;
     std::vector<std::string> trace;
 };
--- a/modules/node/tests/support/VirtualHost.h
+++ b/modules/node/tests/support/VirtualHost.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <memory>
+#include <vector>
 
 namespace oleander::fakes {
 
@@ -38,6 +39,8 @@
     /// Called by a fake network on each message: the time until it really leaves.
     Duration takePauseAtSend();
 
+    /// Whether it was frozen at any time between the two.
+    [[nodiscard]] bool wasFrozen(TimePoint from, TimePoint to) const;
     [[nodiscard]] bool isAlive() const { return m_isAlive; }
     [[nodiscard]] bool isFrozen() const { return m_isFrozen; }
     [[nodiscard]] int index() const { return m_index; }
@@ -70,6 +73,9 @@
     bool m_arrivalsFirst = false;
     Duration m_pauseAtSend{};
     std::deque<Waiting> m_waiting;
+    TimePoint m_frozenSince;
+    /// Begin and end of each freeze that has ended.
+    std::vector<std::pair<TimePoint, TimePoint>> m_freezes;
 };
 
 } // namespace oleander::fakes
