oleanderctl: check, diff, explain, query, status, burn

Cause: operators need to see what a change does before they publish it, what is in force and why, and how the fleet does. Change: module tool with one function a command; programs/oleanderctl only calls it. Files are told apart by their keys and held against each other; connection caps are added up over all services of a server. diff looks at each subject that exceptions name and at what each two have in common. Pages of daemons are read 32 at a time with a time-out each. The burn report is a table, JSON or one HTML page with inline SVG. Exit codes 0, 1, 2 and 3 mean the same for all commands. CTest runs check on both example fleets. Ruled out: a command that changes anything; configuration is only read. Conclusion: whole but for the pages /metrics and /burn, which the daemon does not serve yet.

--- a/modules/reports/tests/BurnTest.cpp
+++ b/modules/reports/tests/BurnTest.cpp
@@ -1,4 +1,5 @@
 #include <oleander/reports/BurnHistory.h>
+#include <oleander/reports/BurnReport.h>
 #include <oleander/reports/DaemonBurn.h>
 
 #include <gtest/gtest.h>
@@ -143,3 +144,25 @@
     badBin.replace(badBin.find("[["), 2, "[[99");
     EXPECT_FALSE(parseDaemonBurn(badBin, reason));
 }
+
+TEST(BurnReport, AddsDaemonsUpAndTakesTheNewestObjectives)
+{
+    DaemonBurn first;
+    first.configuration = SectionVersion(2);
+    first.backends.push_back({BackendId("b"), {milliseconds(64), {990}, {999}}, {}});
+    first.backends.front().windows[0] = {seconds(200), countsOf(900, 3, milliseconds(10))};
+    DaemonBurn second = first;
+    second.configuration = SectionVersion(3);
+    second.backends.front().objectives.latencyGoal = PerMille{980};
+    second.backends.front().windows[0] = {seconds(300), countsOf(100, 17, milliseconds(100))};
+    const BurnReport report = mergeBurn({first, second});
+    ASSERT_EQ(report.backends.size(), 1U);
+    const BackendReport &backend = report.backends.front();
+    EXPECT_TRUE(backend.hasMixedObjectives);
+    EXPECT_EQ(backend.windows[0].counts.latencies.total(), 1000U);
+    EXPECT_EQ(backend.windows[0].shortestReach, seconds(200));
+    EXPECT_EQ(backend.windows[0].longestReach, seconds(300));
+    EXPECT_DOUBLE_EQ(backend.windows[0].latencyBurnt, 1.0);
+    EXPECT_TRUE(isOverBudget(report));
+    EXPECT_FALSE(isOverBudget(mergeBurn({first})));
+}
--- a/modules/settings/include/oleander/settings/PartitionMapParser.h
+++ b/modules/settings/include/oleander/settings/PartitionMapParser.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace oleander {
 
@@ -20,8 +21,10 @@
 std::optional<PartitionMap> readPartitionMap(std::string_view text, SectionVersion version,
                                              Findings &findings);
 
-/// Whether the coordinators of the service may open their connections to each server of the map
-/// without using more than the configured share of a server's connection cap.
-void checkConnectionCaps(const PolicySet &set, const PartitionMap &map, Findings &findings);
+/// Whether the coordinators of all these services together may open their connections to each
+/// server without using more than the configured share of its connection cap. A server is told by
+/// its address, since several services may have replicas on it.
+void checkConnectionCaps(const PolicySet &set, const std::vector<PartitionMap> &maps,
+                         Findings &findings);
 
 } // namespace oleander
--- a/modules/settings/src/CrossFieldCheck.cpp
+++ b/modules/settings/src/CrossFieldCheck.cpp
@@ -1,6 +1,7 @@
 #include <oleander/settings/PolicyFields.h>
 #include <oleander/settings/PolicyFor.h>
 #include <oleander/settings/PolicySetParser.h>
+#include <oleander/settings/Subjects.h>
 
 #include <algorithm>
 #include <array>
@@ -41,28 +42,6 @@
     });
 }
 
-/// Joins one member of two subjects; false when both name different things.
-template <typename Id>
-bool join(Id &into, const Id &other)
-{
-    if (into.isEmpty())
-        into = other;
-    return other.isEmpty() || into == other;
-}
-
-/// The widest subject that both cover, or nothing when they have none in common.
-std::optional<Subject> commonSubject(const Subject &left, const Subject &right)
-{
-    Subject common = left;
-    const bool isCommon = join(common.backend, right.backend) && join(common.service, right.service)
-                          && join(common.caller, right.caller)
-                          && join(common.dataCentre, right.dataCentre)
-                          && join(common.instance, right.instance);
-    if (!isCommon)
-        return std::nullopt;
-    return common;
-}
-
 std::string withUnit(std::string_view name, const Policy &policy)
 {
     const PolicyField &field = *policyFieldNamed(name);
--- a/modules/settings/src/PartitionMapParser.cpp
+++ b/modules/settings/src/PartitionMapParser.cpp
@@ -2,7 +2,6 @@
 #include "ObjectReader.h"
 
 #include <oleander/settings/PartitionMapParser.h>
-#include <oleander/settings/PolicyFor.h>
 
 #include <nlohmann/json.hpp>
 
@@ -163,28 +162,4 @@
     return map;
 }
 
-void checkConnectionCaps(const PolicySet &set, const PartitionMap &map, Findings &findings)
-{
-    constexpr int whole = 1000;
-    Subject subject;
-    subject.backend = map.backend;
-    subject.service = map.service;
-    const Policy policy = policyFor(set, subject);
-    const int wanted = policy.coordinators * policy.connectionsPerServer;
-    const auto share = static_cast<int>(policy.connectionShare.value);
-    for (const auto &[id, server] : map.servers) {
-        const int allowed = server.connectionCap * share / whole;
-        if (wanted <= allowed)
-            continue;
-        findings.push_back(
-            {"$.servers[" + id.text() + "].connectionCap",
-             "service \"" + map.service.text() + "\" uses coordinators "
-                 + std::to_string(policy.coordinators) + " x connectionsPerServer "
-                 + std::to_string(policy.connectionsPerServer) + " = " + std::to_string(wanted)
-                 + " connections, more than connectionSharePerMille " + std::to_string(share)
-                 + " of the cap of " + std::to_string(server.connectionCap)
-                 + " connections, which is " + std::to_string(allowed)});
-    }
-}
-
 } // namespace oleander
--- a/modules/settings/tests/ParserTest.cpp
+++ b/modules/settings/tests/ParserTest.cpp
@@ -188,9 +188,14 @@
     const auto tight =
         parsePartitionMap(partitionMap(shardText("1", "", ""), "7"), SectionVersion(1), reason);
     Findings findings;
-    checkConnectionCaps(*set, *fits, findings);
+    checkConnectionCaps(*set, {*fits}, findings);
     EXPECT_TRUE(findings.empty());
-    checkConnectionCaps(*set, *tight, findings);
+    checkConnectionCaps(*set, {*tight}, findings);
+    EXPECT_EQ(findings.size(), 1U);
+    findings.clear();
+    PartitionMap other = *fits;
+    other.service = ServiceId("t");
+    checkConnectionCaps(*set, {*fits, other}, findings);
     EXPECT_EQ(findings.size(), 1U);
 }
 
--- /dev/null
+++ b/modules/tool/src/commands/Commands.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <oleander/tool/Terminal.h>
+
+#include <string>
+#include <vector>
+
+namespace oleander {
+
+// One function a command; `arguments` are those behind the command's name.
+
+ExitCode runCheck(const std::vector<std::string> &arguments, Terminal &terminal);
+ExitCode runDiff(const std::vector<std::string> &arguments, Terminal &terminal);
+ExitCode runExplain(const std::vector<std::string> &arguments, Terminal &terminal);
+ExitCode runQuery(const std::vector<std::string> &arguments, Terminal &terminal);
+ExitCode runStatus(const std::vector<std::string> &arguments, Terminal &terminal);
+ExitCode runBurn(const std::vector<std::string> &arguments, Terminal &terminal);
+
+} // namespace oleander
