--- a/modules/settings/tests/PolicyForTest.cpp
+++ b/modules/settings/tests/PolicyForTest.cpp
@@ -5,7 +5,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <fstream>
 #include <set>
+#include <sstream>
 
 using namespace oleander;
 
@@ -94,3 +96,19 @@
         }
     }
 }
+
+TEST(PolicyFields, TheOperatorsPageShowsTheTable)
+{
+    std::ifstream file(OLEANDER_SOURCE_DIR "/docs/operators.md");
+    std::stringstream text;
+    text << file.rdbuf();
+    for (const PolicyField &field : allPolicyFields()) {
+        std::string row =
+            "| `" + std::string(field.name) + "` | " + std::string(field.unit) + " | ";
+        if (field.maximum > 1 && field.name != "urgentCallers")
+            row += std::to_string(field.minimum) + " to " + std::to_string(field.maximum) + " | "
+                   + valueText(field, Policy{}) + " | ";
+        EXPECT_NE(text.str().find(row), std::string::npos) << row;
+        EXPECT_NE(text.str().find("| " + std::string(field.meaning) + " |"), std::string::npos);
+    }
+}
