--- a/bench/src/AdapterPath.cpp
+++ b/bench/src/AdapterPath.cpp
@@ -87,7 +87,8 @@
     reply.kind = ReplyKind::Ok;
     reply.shard = request.shard;
     reply.snapshot = request.snapshot;
-    reply.documents = standins::documentsOf(request.shard, request.snapshot, serverShape(shape));
+    reply.documents =
+        standins::documentsOf(request.shard, request.snapshot, request.payload, serverShape(shape));
     std::string requestBody;
     std::string replyBody;
     encodeSubRequest(ServerClientId(1), request, requestBody);
--- a/standins/include/oleander/standins/StandinDocuments.h
+++ b/standins/include/oleander/standins/StandinDocuments.h
@@ -3,6 +3,7 @@
 #include <oleander/core/SubRequest.h>
 #include <oleander/standins/ServerShape.h>
 
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -11,10 +12,16 @@
 /// Document that every shard returns, so that merging has one to remove.
 inline constexpr std::string_view sharedDocument = "shared";
 
-/// The documents a server holds for a shard in a snapshot. A document's body begins with
-/// "shard@snapshot;", so that a checker can tell an answer from the wrong shard or snapshot; the
-/// shared document's body begins with "shared@snapshot;".
+/// Bytes of the payload that a document repeats.
+inline constexpr std::size_t repeatedPayloadBytes = 32;
+
+/// How the body of every document of a shard begins: "shard@snapshot;payload;", with as much of the
+/// payload as repeatedPayloadBytes. A checker tells by it an answer from the wrong shard, of
+/// another snapshot or to another query. The shared document has its own name in the shard's place.
+std::string documentPrefix(std::string_view shard, SnapshotId snapshot, std::string_view payload);
+
+/// The documents a server returns for a query's payload on a shard of a snapshot.
 std::vector<Document> documentsOf(const ShardId &shard, SnapshotId snapshot,
-                                  const ServerShape &shape);
+                                  std::string_view payload, const ServerShape &shape);
 
 } // namespace oleander::standins
--- a/standins/src/ServerState.cpp
+++ b/standins/src/ServerState.cpp
@@ -215,7 +215,7 @@
     if (faults.answersOtherSnapshot)
         reply.snapshot = SnapshotId(request.snapshot.value() + 1);
     if (kind == ReplyKind::Ok || kind == ReplyKind::AlreadyRan)
-        reply.documents = documentsOf(request.shard, reply.snapshot, shape);
+        reply.documents = documentsOf(request.shard, reply.snapshot, request.payload, shape);
     reply.reportedLoad = reportedLoad();
     if (shape.networkDelay <= Duration{}) {
         send(reply, execution.respond);
--- a/standins/src/StandinDocuments.cpp
+++ b/standins/src/StandinDocuments.cpp
@@ -6,12 +6,8 @@
 
 constexpr double sharedScore = 0.5;
 
-std::string bodyOf(std::string_view name, SnapshotId snapshot, std::size_t bytes)
+std::string padded(std::string body, std::size_t bytes)
 {
-    std::string body(name);
-    body += '@';
-    body += std::to_string(snapshot.value());
-    body += ';';
     if (body.size() < bytes)
         body.resize(bytes, 'x');
     return body;
@@ -19,18 +15,30 @@
 
 } // namespace
 
+std::string documentPrefix(std::string_view shard, SnapshotId snapshot, std::string_view payload)
+{
+    std::string prefix(shard);
+    prefix += '@';
+    prefix += std::to_string(snapshot.value());
+    prefix += ';';
+    prefix += payload.substr(0, repeatedPayloadBytes);
+    prefix += ';';
+    return prefix;
+}
+
 std::vector<Document> documentsOf(const ShardId &shard, SnapshotId snapshot,
-                                  const ServerShape &shape)
+                                  std::string_view payload, const ServerShape &shape)
 {
     std::vector<Document> documents;
     documents.reserve(static_cast<std::size_t>(shape.documentsPerShard) + 1);
-    const auto body = bodyOf(shard.text(), snapshot, shape.documentBytes);
+    const auto body = padded(documentPrefix(shard.text(), snapshot, payload), shape.documentBytes);
     for (int number = 0; number < shape.documentsPerShard; ++number) {
         const auto id = shard.text() + '-' + std::to_string(number);
         documents.push_back({DocumentId(id), 1.0 / (number + 1), body});
     }
+    const auto shared = documentPrefix(sharedDocument, snapshot, payload);
     documents.push_back({DocumentId(std::string(sharedDocument)), sharedScore,
-                         bodyOf(sharedDocument, snapshot, shape.documentBytes)});
+                         padded(shared, shape.documentBytes)});
     return documents;
 }
 
--- a/standins/tests/ServerStandinTest.cpp
+++ b/standins/tests/ServerStandinTest.cpp
@@ -107,7 +107,7 @@
     EXPECT_EQ(reply.kind, ReplyKind::Ok);
     EXPECT_EQ(reply.snapshot, SnapshotId(3));
     ASSERT_EQ(reply.documents.size(), 4U);
-    EXPECT_TRUE(reply.documents[0].body.starts_with("s1@3;"));
+    EXPECT_TRUE(reply.documents[0].body.starts_with("s1@3;find;"));
 }
 
 TEST_F(ServerStandinTest, RecognisesARepeatedNonIdempotentRequest)
