--- a/bench/src/Report.cpp
+++ b/bench/src/Report.cpp
@@ -143,6 +143,8 @@
         doubled += run.doubledRuns;
         ++count;
     }
+    if (count == 0)
+        return {};
     return targetRow(customer, "wrong answers, untrue \"not run\", doubled runs: 0",
                      format("%.0f untrue, %.0f doubled in %.0f runs", untrue, doubled, count),
                      untrue + doubled == 0);
--- a/standins/include/oleander/standins/ServerShape.h
+++ b/standins/include/oleander/standins/ServerShape.h
@@ -35,7 +35,7 @@
     Duration connectionCost{};
     /// One-way delay, added to each request and each reply.
     Duration networkDelay{};
-    /// After a start the server is slower by coldFactor for this long.
+    /// After a revival the server is slower by coldFactor for this long.
     Duration coldTime{};
     int coldFactor = 4;
     LoadReport loadReport = LoadReport::Honest;
--- a/standins/src/ServerStandin.cpp
+++ b/standins/src/ServerStandin.cpp
@@ -39,7 +39,7 @@
 void ServerStandin::revive()
 {
     m_state->kill();
-    m_state->started = State::Clock::now();
+    m_state->warmFrom = State::Clock::now() + m_state->shape.coldTime;
     Reason reason;
     m_state->listener->listen(m_state->server.address, reason);
 }
--- a/standins/src/ServerState.h
+++ b/standins/src/ServerState.h
@@ -75,7 +75,8 @@
     std::set<ExecutionPointer> running;
     /// Non-idempotent requests that this server executed since its start.
     std::set<std::string> remembered;
-    Clock::time_point started = Clock::now();
+    /// End of the cold time after a revival.
+    Clock::time_point warmFrom;
     Clock::time_point drainStarted;
     /// Load by time, for the lagging report.
     std::deque<std::pair<Clock::time_point, int>> pastLoad;
