Messages between daemons as MessagePack

Change: each message's members are named once, for writing and reading, by a function whose structured bindings stop compiling when a member is added and not listed. Unknown members are skipped; members of this release are required, since a default in place of a lost one (idempotent, say) could run a request twice. Lists, maps, depth and the whole are bounded before anything is allocated for them. Ruled out: protobuf and flatbuffers, whose generated code would have to be committed and copied into the core types once more.

--- /dev/null
+++ b/modules/adapters/src/peers/PeerCodec.cpp
@@ -0,0 +1,117 @@
+#include "peers/MessagePackReader.h"
+#include "peers/MessagePackWriter.h"
+
+#include <oleander/adapters/peers/PeerCodec.h>
+
+namespace oleander {
+
+namespace {
+
+constexpr const char *queryName = "query";
+constexpr const char *answerName = "answer";
+constexpr const char *viewsName = "views";
+
+constexpr std::size_t maximumListSize = 65536;
+constexpr std::size_t maximumMapSize = 64;
+constexpr std::size_t maximumDepth = 8;
+
+template <typename Message>
+std::string encode(const char *name, const Message &message)
+{
+    msgpack::sbuffer buffer;
+    MessagePackWriter(buffer).writeNamed(name, message);
+    return {buffer.data(), buffer.size()};
+}
+
+/// One encoded message: the name of its kind, and its members.
+struct Envelope
+{
+    msgpack::object_handle memory;
+    std::string_view name;
+    msgpack::object members;
+};
+
+std::optional<Envelope> openEnvelope(std::string_view bytes, Reason &reason)
+{
+    if (bytes.size() > maximumPeerMessageBytes) {
+        reason.set(ErrorKind::BodyTooLarge, "a message between daemons is too large");
+        return std::nullopt;
+    }
+    const msgpack::unpack_limit limit(maximumListSize, maximumMapSize, maximumPeerMessageBytes,
+                                      maximumPeerMessageBytes, 0, maximumDepth);
+    const auto refer = [](msgpack::type::object_type, std::size_t, void *) { return true; };
+    Envelope envelope;
+    try {
+        std::size_t end = 0;
+        msgpack::unpack(envelope.memory, bytes.data(), bytes.size(), end, refer, nullptr, limit);
+        const msgpack::object &root = envelope.memory.get();
+        const bool isMessage = end == bytes.size() && root.type == msgpack::type::MAP
+                               && root.via.map.size == 1
+                               && root.via.map.ptr[0].key.type == msgpack::type::STR;
+        if (isMessage) {
+            const msgpack::object_kv &entry = root.via.map.ptr[0];
+            envelope.name = {entry.key.via.str.ptr, entry.key.via.str.size};
+            envelope.members = entry.val;
+            return envelope;
+        }
+    } catch (const msgpack::unpack_error &) {
+        // Cut, malformed or beyond a limit: refused below.
+    }
+    reason.set(ErrorKind::BadRequest, "no well-formed message between daemons");
+    return std::nullopt;
+}
+
+template <typename Message, typename Result>
+std::optional<Result> decodeMembers(const Envelope &envelope, Reason &reason)
+{
+    Message message;
+    MessagePackReader reader;
+    reader.read(envelope.members, message);
+    if (reader.isGood())
+        return Result(std::move(message));
+    reason.set(ErrorKind::BadRequest,
+               "message '" + std::string(envelope.name) + "', " + reader.fault());
+    return std::nullopt;
+}
+
+template <typename First, typename Result>
+std::optional<Result> decode(std::string_view bytes, std::string_view firstName, Reason &reason)
+{
+    const std::optional<Envelope> envelope = openEnvelope(bytes, reason);
+    if (!envelope)
+        return std::nullopt;
+    if (envelope->name == firstName)
+        return decodeMembers<First, Result>(*envelope, reason);
+    if (envelope->name == viewsName)
+        return decodeMembers<ViewExchange, Result>(*envelope, reason);
+    reason.set(ErrorKind::BadRequest, "unknown kind of message between daemons");
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string encodePeerRequest(const PeerRequest &request)
+{
+    if (const auto *query = std::get_if<PeerQuery>(&request))
+        return encode(queryName, *query);
+    return encode(viewsName, std::get<ViewExchange>(request));
+}
+
+std::string encodePeerReply(const PeerReply &reply)
+{
+    if (const auto *answer = std::get_if<PeerAnswer>(&reply))
+        return encode(answerName, *answer);
+    return encode(viewsName, std::get<ViewExchange>(reply));
+}
+
+std::optional<PeerRequest> decodePeerRequest(std::string_view bytes, Reason &reason)
+{
+    return decode<PeerQuery, PeerRequest>(bytes, queryName, reason);
+}
+
+std::optional<PeerReply> decodePeerReply(std::string_view bytes, Reason &reason)
+{
+    return decode<PeerAnswer, PeerReply>(bytes, answerName, reason);
+}
+
+} // namespace oleander
--- /dev/null
+++ b/modules/adapters/src/peers/PeerFields.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include <oleander/ports/PeerMessage.h>
+
+#include <concepts>
+#include <type_traits>
+
+namespace oleander::fields {
+
+/// True for T and const T.
+template <typename Given, typename T>
+concept Is = std::same_as<std::remove_const_t<Given>, T>;
+
+// One function for each message: it names the members once, for writing and for reading. The
+// structured bindings fail to compile when a member is added and not listed here.
+
+template <Is<Document> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[id, score, body] = message;
+    visitor("id", id);
+    visitor("score", score);
+    visitor("body", body);
+}
+
+template <Is<Coverage> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[asked, answered, missing] = message;
+    visitor("asked", asked);
+    visitor("answered", answered);
+    visitor("missing", missing);
+}
+
+template <Is<Timings> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[queued, executing, total] = message;
+    visitor("queued", queued);
+    visitor("executing", executing);
+    visitor("total", total);
+}
+
+template <Is<Query> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[caller, request, backend, service, shards, firstKey, endKey, payload, deadline, urgency,
+           isIdempotent, issuedAt, patience, limit] = message;
+    visitor("caller", caller);
+    visitor("request", request);
+    visitor("backend", backend);
+    visitor("service", service);
+    visitor("shards", shards);
+    visitor("firstKey", firstKey);
+    visitor("endKey", endKey);
+    visitor("payload", payload);
+    visitor("deadline", deadline);
+    visitor("urgency", urgency);
+    visitor("idempotent", isIdempotent);
+    visitor("issuedAt", issuedAt);
+    visitor("patience", patience);
+    visitor("limit", limit);
+}
+
+template <Is<Answer> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[outcome, ran, error, errorText, snapshot, coverage, documents, timeLeft, timings,
+           extraSubRequests, coordinator, configuration] = message;
+    visitor("outcome", outcome);
+    visitor("ran", ran);
+    visitor("error", error);
+    visitor("errorText", errorText);
+    visitor("snapshot", snapshot);
+    visitor("coverage", coverage);
+    visitor("documents", documents);
+    visitor("timeLeft", timeLeft);
+    visitor("timings", timings);
+    visitor("extra", extraSubRequests);
+    visitor("coordinator", coordinator);
+    visitor("configuration", configuration);
+}
+
+template <Is<PeerQuery> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[from, query, timeLeft, instanceList, partitionMap] = message;
+    visitor("from", from);
+    visitor("query", query);
+    visitor("timeLeft", timeLeft);
+    visitor("instanceList", instanceList);
+    visitor("partitionMap", partitionMap);
+}
+
+template <Is<PeerAnswer> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[answer, instanceList, partitionMap] = message;
+    visitor("answer", answer);
+    visitor("instanceList", instanceList);
+    visitor("partitionMap", partitionMap);
+}
+
+template <Is<SectionSummary> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[name, version, digest] = message;
+    visitor("name", name);
+    visitor("version", version);
+    visitor("digest", digest);
+}
+
+template <Is<Section> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[summary, body] = message;
+    visitor("summary", summary);
+    visitor("body", body);
+}
+
+template <Is<CrashNotice> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[service, fingerprint, server, age] = message;
+    visitor("service", service);
+    visitor("fingerprint", fingerprint);
+    visitor("server", server);
+    visitor("age", age);
+}
+
+template <Is<ViewExchange> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[from, heldDigest, statesHeld, held, wanted, newer, crashes, platformAge, isStopping] =
+        message;
+    visitor("from", from);
+    visitor("heldDigest", heldDigest);
+    visitor("statesHeld", statesHeld);
+    visitor("held", held);
+    visitor("wanted", wanted);
+    visitor("newer", newer);
+    visitor("crashes", crashes);
+    visitor("platformAge", platformAge);
+    visitor("stopping", isStopping);
+}
+
+/// Anything that has members to visit.
+template <typename T>
+concept Message = requires(T &message)
+{
+    visit(message, [](const char *, auto &) {});
+};
+
+} // namespace oleander::fields
