--- /dev/null
+++ b/modules/adapters/src/peers/Http2PeerNetwork.cpp
@@ -0,0 +1,369 @@
+#include "concurrency/Listening.h"
+#include "peers/PeerClientSession.h"
+#include "peers/PeerServerSession.h"
+
+#include <oleander/adapters/peers/Http2PeerNetwork.h>
+#include <oleander/adapters/time/SteadyTime.h>
+
+#include <unordered_map>
+
+namespace oleander {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t maximumIncomingSessions = 4096;
+/// Sessions that have not proven yet that they belong to the fleet.
+constexpr std::size_t maximumStrangers = 256;
+constexpr Duration tickPeriod = milliseconds(50);
+/// A tick this late means that this process was paused; silence until then proves nothing.
+constexpr Duration pauseSuspicion = milliseconds(100);
+/// After a session could not be opened, calls to that peer fail at once for this long.
+constexpr Duration reopenPause = milliseconds(50);
+constexpr Duration acceptPause = milliseconds(100);
+/// At most one log line about refused peers in this time, whatever strangers send.
+constexpr Duration refusalLogPeriod = seconds(1);
+
+} // namespace
+
+class Http2PeerNetwork::Impl : private PeerClientOwner, private PeerServerOwner
+{
+public:
+    Impl(asio::io_context &context, TimerService &timers, EventLog &log, PeerIdentity identity)
+        : m_context(context)
+        , m_timers(timers)
+        , m_log(log)
+        , m_identity(std::move(identity))
+        , m_tick(timers.callEvery(tickPeriod, [this](const TimerTick &tick) { onTick(tick); }))
+    {
+    }
+
+    ~Impl() override
+    {
+        m_calls.clear();
+        for (const auto &[key, session] : std::exchange(m_clients, {}))
+            session->close();
+        for (const auto &[key, session] : std::exchange(m_draining, {}))
+            session->close();
+        for (const auto &[key, session] : std::exchange(m_servers, {}))
+            session->close();
+    }
+
+    // Listening
+    std::optional<std::uint16_t> listen(const std::string &address, Reason &reason)
+    {
+        m_acceptor = listenOn(m_context, address, reason);
+        if (!m_acceptor)
+            return std::nullopt;
+        accept();
+        return m_acceptor->local_endpoint().port();
+    }
+
+    void beginStop()
+    {
+        m_isStopping = true;
+        m_acceptor.reset();
+        const auto servers = m_servers;
+        for (const auto &[key, session] : servers)
+            session->beginStop();
+        reportStopped();
+    }
+
+    void whenStopped(std::function<void()> callback)
+    {
+        m_whenStopped = std::move(callback);
+        reportStopped();
+    }
+
+    // Calls
+    PeerCallId call(const Instance &peer, PeerRequest request, Duration timeLeft,
+                    PeerCallback callback)
+    {
+        const PeerCallId id(++m_lastCall);
+        Call &call = m_calls[id];
+        call.callback = std::move(callback);
+        call.deadline = m_timers.callAfter(timeLeft, [this, id](auto &) { onDeadline(id); });
+        const TimePoint now = steadyNow();
+        const auto session = timeLeft > Duration::zero() ? sessionTo(peer, now) : nullptr;
+        if (!session) {
+            m_timers.post([this, id, life = std::weak_ptr<char>(m_life)] {
+                if (!life.expired())
+                    endCall(id, {PeerProof::NotProcessed, std::nullopt});
+            });
+            return id;
+        }
+        call.session = session;
+        session->startCall(id, std::move(request), now + timeLeft);
+        return id;
+    }
+
+    void cancel(PeerCallId id)
+    {
+        const auto node = m_calls.extract(id);
+        if (node.empty())
+            return;
+        if (const auto session = node.mapped().session.lock())
+            session->abandonCall(id);
+    }
+
+    PeerNetworkStatistics statistics() const
+    {
+        PeerNetworkStatistics result;
+        result.outgoingSessions = m_clients.size() + m_draining.size();
+        result.incomingSessions = m_servers.size();
+        for (const auto &[key, session] : m_servers)
+            result.incomingRequests += session->requests();
+        result.refusedSessions = m_refusedSessions;
+        return result;
+    }
+
+    PeerHandler *m_handler = nullptr;
+
+private:
+    struct Call
+    {
+        PeerCallback callback;
+        Subscription deadline;
+        std::weak_ptr<PeerClientSession> session;
+    };
+
+    // Sessions of this daemon
+
+    /// The session for a new call, opened when needed; null while reopening has to wait.
+    std::shared_ptr<PeerClientSession> sessionTo(const Instance &peer, TimePoint now)
+    {
+        const auto found = m_clients.find(peer.id);
+        if (found != m_clients.end()) {
+            const auto session = found->second;
+            if (session->takesCalls() && session->peer().peerAddress == peer.peerAddress)
+                return session;
+            m_clients.erase(found);
+            m_draining.emplace(session.get(), session);
+            session->drain();
+        }
+        const auto pause = m_notBefore.find(placeOf(peer));
+        if (pause != m_notBefore.end() && now < pause->second)
+            return nullptr;
+        PeerClientOwner &owner = *this;
+        const auto session = std::make_shared<PeerClientSession>(m_context, peer, owner);
+        m_clients.emplace(peer.id, session);
+        session->open();
+        return session;
+    }
+
+    void onDeadline(PeerCallId id)
+    {
+        const auto found = m_calls.find(id);
+        if (found == m_calls.end())
+            return;
+        const auto session = found->second.session.lock();
+        const PeerProof proof = session ? session->abandonCall(id) : PeerProof::NotProcessed;
+        endCall(id, {proof, std::nullopt});
+    }
+
+    void endCall(PeerCallId id, PeerOutcome outcome)
+    {
+        const auto node = m_calls.extract(id);
+        if (!node.empty())
+            node.mapped().callback(std::move(outcome));
+    }
+
+    // PeerClientOwner and PeerServerOwner
+    const PeerIdentity &identity() const override { return m_identity; }
+
+    void onCallEnded(PeerCallId id, PeerOutcome outcome) override
+    {
+        endCall(id, std::move(outcome));
+    }
+
+    void onClientOpened(PeerClientSession &session) override
+    {
+        m_log.record(EventId::PeerOpened, "to " + nameOf(session));
+    }
+
+    void onClientEnded(PeerClientSession &session, const std::string &why, bool isRefusal) override
+    {
+        m_draining.erase(&session);
+        const auto found = m_clients.find(session.peer().id);
+        if (found != m_clients.end() && found->second.get() == &session)
+            m_clients.erase(found);
+        if (!session.wasOpen())
+            m_notBefore[placeOf(session.peer())] = steadyNow() + reopenPause;
+        if (isRefusal)
+            recordRefusal("to " + nameOf(session) + ": " + why);
+        else if (session.wasOpen() && !why.empty())
+            m_log.record(EventId::PeerLost, "to " + nameOf(session) + ": " + why);
+    }
+
+    static std::string placeOf(const Instance &peer)
+    {
+        return peer.id.text() + " at " + peer.peerAddress;
+    }
+
+    static std::string nameOf(const PeerClientSession &session) { return placeOf(session.peer()); }
+
+    // Sessions of peers
+
+    PeerHandler *handler() override { return m_isStopping ? nullptr : m_handler; }
+
+    void accept()
+    {
+        m_acceptor->async_accept([this, life = std::weak_ptr<char>(m_life)](const error_code &error,
+                                                                            tcp::socket socket) {
+            if (life.expired() || !m_acceptor)
+                return;
+            if (error) {
+                m_acceptAgain = m_timers.callAfter(acceptPause, [this](auto &) {
+                    if (m_acceptor)
+                        accept();
+                });
+                return;
+            }
+            takeOn(std::move(socket));
+            accept();
+        });
+    }
+
+    void takeOn(tcp::socket socket)
+    {
+        if (m_servers.size() >= maximumIncomingSessions || strangers() >= maximumStrangers) {
+            ++m_refusedSessions;
+            return;
+        }
+        PeerServerOwner &owner = *this;
+        const auto session = std::make_shared<PeerServerSession>(std::move(socket), owner);
+        m_servers.emplace(session.get(), session);
+        session->start();
+    }
+
+    [[nodiscard]] std::size_t strangers() const { return m_servers.size() - m_provenServers; }
+
+    void onServerProven(PeerServerSession &session) override
+    {
+        ++m_provenServers;
+        m_log.record(EventId::PeerOpened, "from " + session.peerName());
+    }
+
+    void onServerRefused(PeerServerSession &session, const std::string &why) override
+    {
+        ++m_refusedSessions;
+        recordRefusal("from " + session.peerName() + ": " + why);
+    }
+
+    void onServerEnded(PeerServerSession &session, const std::string &why) override
+    {
+        if (session.isProven()) {
+            --m_provenServers;
+            m_log.record(EventId::PeerLost, "from " + session.peerName() + ": " + why);
+        }
+        m_servers.erase(&session);
+        reportStopped();
+    }
+
+    void recordRefusal(const std::string &text)
+    {
+        const TimePoint now = steadyNow();
+        if (now < m_nextRefusalLog)
+            return;
+        m_nextRefusalLog = now + refusalLogPeriod;
+        m_log.record(EventId::PeerRefused, text);
+    }
+
+    void reportStopped()
+    {
+        if (!m_isStopping || !m_servers.empty() || !m_whenStopped)
+            return;
+        m_timers.post(std::exchange(m_whenStopped, nullptr));
+    }
+
+    // Time
+
+    void onTick(const TimerTick &tick)
+    {
+        const bool wasPaused = tick.lateness() > pauseSuspicion;
+        const auto check = [&](const auto &sessions) {
+            const auto copy = sessions;
+            for (const auto &[key, session] : copy) {
+                if (wasPaused)
+                    session->forgiveSilence(tick.fired);
+                else
+                    session->tick(tick.fired);
+            }
+        };
+        std::erase_if(m_notBefore, [&](const auto &entry) { return entry.second <= tick.fired; });
+        check(m_clients);
+        check(m_draining);
+        check(m_servers);
+    }
+
+    asio::io_context &m_context;
+    TimerService &m_timers;
+    EventLog &m_log;
+    PeerIdentity m_identity;
+    std::optional<tcp::acceptor> m_acceptor;
+    std::unordered_map<PeerCallId, Call> m_calls;
+    std::unordered_map<InstanceId, std::shared_ptr<PeerClientSession>> m_clients;
+    std::unordered_map<PeerClientSession *, std::shared_ptr<PeerClientSession>> m_draining;
+    std::unordered_map<PeerServerSession *, std::shared_ptr<PeerServerSession>> m_servers;
+    /// By instance and address: when a session may be opened again after one could not.
+    std::unordered_map<std::string, TimePoint> m_notBefore;
+    std::size_t m_provenServers = 0;
+    std::uint64_t m_lastCall = 0;
+    std::uint64_t m_refusedSessions = 0;
+    TimePoint m_nextRefusalLog;
+    bool m_isStopping = false;
+    std::function<void()> m_whenStopped;
+    Subscription m_acceptAgain;
+    Subscription m_tick;
+    /// Expires with the network; guards handlers that others still hold.
+    std::shared_ptr<char> m_life = std::make_shared<char>();
+};
+
+Http2PeerNetwork::Http2PeerNetwork(asio::io_context &context, TimerService &timers, EventLog &log,
+                                   PeerIdentity identity)
+    : m_impl(std::make_unique<Impl>(context, timers, log, std::move(identity)))
+{
+}
+
+Http2PeerNetwork::~Http2PeerNetwork() = default;
+
+std::optional<std::uint16_t> Http2PeerNetwork::listen(const std::string &address, Reason &reason)
+{
+    return m_impl->listen(address, reason);
+}
+
+void Http2PeerNetwork::whenStopped(std::function<void()> callback)
+{
+    m_impl->whenStopped(std::move(callback));
+}
+
+PeerCallId Http2PeerNetwork::call(const Instance &peer, PeerRequest request, Duration timeLeft,
+                                  PeerCallback callback)
+{
+    return m_impl->call(peer, std::move(request), timeLeft, std::move(callback));
+}
+
+void Http2PeerNetwork::cancel(PeerCallId call)
+{
+    m_impl->cancel(call);
+}
+
+void Http2PeerNetwork::setHandler(PeerHandler *handler)
+{
+    m_impl->m_handler = handler;
+}
+
+void Http2PeerNetwork::beginStop()
+{
+    m_impl->beginStop();
+}
+
+PeerNetworkStatistics Http2PeerNetwork::statistics() const
+{
+    return m_impl->statistics();
+}
+
+} // namespace oleander
--- /dev/null
+++ b/modules/adapters/src/peers/Http2Transport.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "concurrency/AsioHeaders.h"
+
+#include <oleander/core/Units.h>
+
+#include <nghttp2/nghttp2.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace oleander {
+
+using Http2StreamId = std::int32_t;
+using Http2Headers = std::vector<std::pair<std::string_view, std::string_view>>;
+
+/// Hears what happens on one HTTP/2 connection.
+class Http2Listener
+{
+public:
+    virtual ~Http2Listener() = default;
+
+    virtual void onStreamBegun(Http2StreamId stream) = 0;
+    virtual void onHeader(Http2StreamId stream, std::string_view name, std::string_view value) = 0;
+    virtual void onBody(Http2StreamId stream, std::string_view bytes) = 0;
+    /// The other side has sent its whole message.
+    virtual void onMessageEnd(Http2StreamId stream) = 0;
+    /// From here on the other side may have seen the stream.
+    virtual void onHeadersWritten(Http2StreamId stream) = 0;
+    /// The last call for a stream, with an HTTP/2 error code.
+    virtual void onStreamEnded(Http2StreamId stream, std::uint32_t error) = 0;
+    /// The other side takes no new streams.
+    virtual void onGoAway() = 0;
+    /// The last call. Streams that have not ended get no calls of their own.
+    virtual void onTransportEnded(const std::string &why) = 0;
+};
+
+/// One HTTP/2 connection: moves bytes between a socket and an nghttp2 session.
+///
+/// Frames that are submitted while events are handled leave together afterwards. A stream ends with
+/// onStreamEnded() or with the transport. Not to be used from several threads.
+class Http2Transport : public std::enable_shared_from_this<Http2Transport>
+{
+public:
+    enum class Role { Client, Server };
+
+    /// The listener must outlive the transport or close() it.
+    Http2Transport(boost::asio::ip::tcp::socket socket, Role role, Http2Listener &listener);
+    Http2Transport(const Http2Transport &) = delete;
+    Http2Transport &operator=(const Http2Transport &) = delete;
+    ~Http2Transport();
+
+    // Life
+    void start();
+    /// Closes at once; the listener hears nothing more.
+    void close();
+    /// Announces that no new stream is taken. Ends by itself when the last stream has ended.
+    void goAway(std::uint32_t error, std::string_view why);
+    /// Closes a connection that has been silent for too long while it owes something; asks it by a
+    /// PING before. To be called often. `isOwing` tells whether something is awaited.
+    void checkSilence(TimePoint now, bool isOwing);
+    /// Forgives silence up to now: this process itself was paused.
+    void forgiveSilence(TimePoint now);
+    [[nodiscard]] TimePoint lastHeard() const { return m_lastHeard; }
+    [[nodiscard]] std::string remoteAddress() const;
+
+    // Streams
+    Http2StreamId submitRequest(const Http2Headers &headers, std::string body);
+    void submitResponse(Http2StreamId stream, const Http2Headers &headers, std::string body);
+    void resetStream(Http2StreamId stream, std::uint32_t error);
+
+private:
+    struct Body
+    {
+        std::string bytes;
+        std::size_t sent = 0;
+    };
+    struct Callbacks;
+    friend struct Callbacks;
+
+    void makeSession(Role role);
+    void submitSettings();
+    nghttp2_data_provider provideBody(Http2StreamId stream, std::string body);
+    void awaitReadable();
+    void onReadable();
+    bool receive(const std::uint8_t *bytes, std::size_t size);
+    void scheduleFlush();
+    void flush();
+    bool collect();
+    bool writeSome();
+    void awaitWritable();
+    void endWhenDone();
+    void end(const std::string &why);
+
+    boost::asio::ip::tcp::socket m_socket;
+    Http2Listener *m_listener;
+    nghttp2_session *m_session = nullptr;
+    std::unordered_map<Http2StreamId, Body> m_bodies;
+    std::string m_outgoing;
+    std::size_t m_written = 0;
+    TimePoint m_lastHeard;
+    TimePoint m_pingedAt;
+    bool m_isPinged = false;
+    bool m_isFlushScheduled = false;
+    bool m_isAwaitingWritable = false;
+    bool m_isSendClosed = false;
+    bool m_isClosed = false;
+};
+
+} // namespace oleander
--- /dev/null
+++ b/modules/adapters/src/peers/PeerClientSession.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "peers/Http2Transport.h"
+#include "peers/PeerProof.h"
+
+#include <oleander/adapters/peers/PeerIdentity.h>
+#include <oleander/core/FleetView.h>
+#include <oleander/ports/PeerNetwork.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace oleander {
+
+class PeerClientSession;
+
+/// Hears how calls and the session ended.
+class PeerClientOwner
+{
+public:
+    virtual ~PeerClientOwner() = default;
+
+    virtual const PeerIdentity &identity() const = 0;
+    virtual void onCallEnded(PeerCallId call, PeerOutcome outcome) = 0;
+    virtual void onClientOpened(PeerClientSession &session) = 0;
+    /// The last call, after every call of the session has ended. `why` is empty at a planned end;
+    /// a refusal is when one side did not accept the other's greeting.
+    virtual void onClientEnded(PeerClientSession &session, const std::string &why,
+                               bool isRefusal) = 0;
+};
+
+/// The session on which this daemon calls one peer. Calls that are started before it is open wait.
+class PeerClientSession : public std::enable_shared_from_this<PeerClientSession>,
+                          private Http2Listener
+{
+public:
+    /// The owner must outlive the session or close() it.
+    PeerClientSession(boost::asio::io_context &context, Instance peer, PeerClientOwner &owner);
+
+    // Life
+    void open();
+    /// Closes at once; the owner hears nothing more.
+    void close();
+    /// Closes what is silent, idle or slow to open. To be called often.
+    void tick(TimePoint now);
+    void forgiveSilence(TimePoint now);
+    [[nodiscard]] const Instance &peer() const { return m_peer; }
+    [[nodiscard]] bool wasOpen() const { return m_wasOpen; }
+    /// Whether new calls may be started.
+    [[nodiscard]] bool takesCalls() const;
+    /// Takes no new calls; ends when the present ones have ended.
+    void drain();
+
+    // Calls
+    void startCall(PeerCallId call, PeerRequest request, TimePoint deadline);
+    /// Ends a call without a word to the owner; tells what is known of it.
+    PeerProof abandonCall(PeerCallId call);
+
+private:
+    enum class State { Connecting, Greeting, Open, Draining, Closed };
+
+    struct WaitingCall
+    {
+        PeerRequest request;
+        TimePoint deadline;
+    };
+
+    /// A message under way: the greeting, the proof or a call.
+    struct Stream
+    {
+        /// None for the greeting and the proof.
+        PeerCallId call;
+        bool isWritten = false;
+        bool isComplete = false;
+        std::string status;
+        std::string body;
+        std::map<std::string, std::string, std::less<>> headers;
+    };
+
+    // Opening
+    void onConnected();
+    void greet();
+    void onGreetingAnswered(const Stream &stream);
+    void prove();
+    void onProofAnswered(const Stream &stream);
+    void sendWaiting();
+    void sendCall(PeerCallId call, WaitingCall waiting);
+
+    // Http2Listener
+    void onStreamBegun(Http2StreamId) override {}
+    void onHeader(Http2StreamId stream, std::string_view name, std::string_view value) override;
+    void onBody(Http2StreamId stream, std::string_view bytes) override;
+    void onMessageEnd(Http2StreamId stream) override;
+    void onHeadersWritten(Http2StreamId stream) override;
+    void onStreamEnded(Http2StreamId stream, std::uint32_t error) override;
+    void onGoAway() override;
+    void onTransportEnded(const std::string &why) override;
+
+    // Ending
+    void endCall(const Stream &stream, std::uint32_t error);
+    void endIfDrained();
+    void fail(const std::string &why, bool isRefusal);
+
+    boost::asio::io_context &m_context;
+    Instance m_peer;
+    PeerClientOwner *m_owner;
+    State m_state = State::Connecting;
+    std::optional<boost::asio::ip::tcp::socket> m_connecting;
+    std::shared_ptr<Http2Transport> m_transport;
+    PeerGreeting m_greeting;
+    Http2StreamId m_greetingStream = 0;
+    Http2StreamId m_proofStream = 0;
+    /// In the order in which they were started.
+    std::map<PeerCallId, WaitingCall> m_waiting;
+    std::unordered_map<Http2StreamId, Stream> m_streams;
+    std::unordered_map<PeerCallId, Http2StreamId> m_calls;
+    TimePoint m_begun;
+    TimePoint m_lastUsed;
+    bool m_wasOpen = false;
+};
+
+} // namespace oleander
--- /dev/null
+++ b/modules/adapters/src/peers/PeerServerSession.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "peers/Http2Transport.h"
+#include "peers/PeerProof.h"
+
+#include <oleander/adapters/peers/PeerIdentity.h>
+#include <oleander/ports/PeerNetwork.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace oleander {
+
+class PeerServerSession;
+
+/// What the sessions that peers opened need from the network.
+class PeerServerOwner
+{
+public:
+    virtual ~PeerServerOwner() = default;
+
+    virtual const PeerIdentity &identity() const = 0;
+    /// Null when requests are to be refused.
+    virtual PeerHandler *handler() = 0;
+    virtual void onServerProven(PeerServerSession &session) = 0;
+    virtual void onServerRefused(PeerServerSession &session, const std::string &why) = 0;
+    /// The last call.
+    virtual void onServerEnded(PeerServerSession &session, const std::string &why) = 0;
+};
+
+/// A session that a peer opened: reads its requests and writes the replies.
+class PeerServerSession : public std::enable_shared_from_this<PeerServerSession>,
+                          private Http2Listener
+{
+public:
+    /// The owner must outlive the session or close() it.
+    PeerServerSession(boost::asio::ip::tcp::socket socket, PeerServerOwner &owner);
+
+    void start();
+    /// Closes at once; handlers hear that their requests are cancelled, the owner hears nothing.
+    void close();
+    /// Takes no new request; ends when the present ones have been answered.
+    void beginStop();
+    void tick(TimePoint now);
+    void forgiveSilence(TimePoint now) { m_transport->forgiveSilence(now); }
+    /// Whether the other side has proven that it belongs to the fleet.
+    [[nodiscard]] bool isProven() const { return m_isProven; }
+    [[nodiscard]] std::size_t requests() const { return m_streams.size(); }
+    /// The instance, as far as known, and its address.
+    [[nodiscard]] std::string peerName() const;
+
+private:
+    class Responder;
+    struct Stream
+    {
+        std::string path;
+        std::string body;
+        std::map<std::string, std::string, std::less<>> headers;
+        std::weak_ptr<Responder> responder;
+    };
+
+    // Http2Listener
+    void onStreamBegun(Http2StreamId stream) override;
+    void onHeader(Http2StreamId stream, std::string_view name, std::string_view value) override;
+    void onBody(Http2StreamId stream, std::string_view bytes) override;
+    void onMessageEnd(Http2StreamId stream) override;
+    void onHeadersWritten(Http2StreamId) override {}
+    void onStreamEnded(Http2StreamId stream, std::uint32_t error) override;
+    void onGoAway() override {}
+    void onTransportEnded(const std::string &why) override;
+
+    // Requests
+    void onGreeting(Http2StreamId id, const Stream &stream);
+    void onProof(Http2StreamId id, const Stream &stream);
+    void onCall(Http2StreamId id, Stream &stream);
+    void answer(Http2StreamId id, std::string_view status, std::string text);
+    void refusePeer(Http2StreamId id, std::string_view status, const std::string &why);
+    void sendReply(Http2StreamId id, const PeerReply &reply);
+    void dropBody(Stream &stream);
+    void cancelAll();
+
+    std::shared_ptr<Http2Transport> m_transport;
+    PeerServerOwner *m_owner;
+    PeerGreeting m_greeting;
+    std::unordered_map<Http2StreamId, Stream> m_streams;
+    std::size_t m_heldBytes = 0;
+    int m_strangeStreams = 0;
+    TimePoint m_begun;
+    std::string m_address;
+    bool m_isProven = false;
+    bool m_isRefused = false;
+    bool m_isClosed = false;
+};
+
+} // namespace oleander
