--- a/modules/decisions/src/control/SectionStore.cpp
+++ b/modules/decisions/src/control/SectionStore.cpp
@@ -12,7 +12,7 @@
 bool wasRefused(const SectionStore &store, const SectionSummary &section)
 {
     const auto refused = store.refused.find(section.name);
-    return refused != store.refused.end() && !isOlder(refused->second, section);
+    return refused != store.refused.end() && refused->second == section;
 }
 
 bool isHeldOrNewer(const SectionStore &store, const SectionSummary &section)
--- a/modules/node/src/control/ControlCore.cpp
+++ b/modules/node/src/control/ControlCore.cpp
@@ -81,9 +81,9 @@
 void ControlCore::beginStop()
 {
     m_isStopping = true;
-    m_watcher.watchOnly({});
     updateReadiness();
     announce();
+    updateRoles();
 }
 
 void ControlCore::readFromPlatformOnce()
@@ -121,25 +121,23 @@
 
 void ControlCore::compareInTurn()
 {
-    if (m_isStopping || m_roles.compared.empty())
+    if (m_roles.compared.empty())
         return;
-    m_exchange.compare(m_roles.compared[m_turn % m_roles.compared.size()],
-                       [](const PeerExchange::Comparison &) {});
+    m_exchange.compare(m_roles.compared[m_turn % m_roles.compared.size()]);
 }
 
-/// Asks one of the unreachable peers each period whether it is back.
+/// Asks, each period, one of the peers with evidence against them whether it is back, or has been
+/// started anew under the same id.
 void ControlCore::probeInTurn()
 {
-    std::vector<const Instance *> unreachable;
+    std::vector<const Instance *> avoided;
     for (const auto &[id, entry] : m_evidence.entries) {
-        const Instance *peer = findPeer(id);
-        if (peer && entry.kind == Evidence::Unreachable)
-            unreachable.push_back(peer);
+        if (const Instance *peer = findPeer(id))
+            avoided.push_back(peer);
     }
-    if (m_isStopping || unreachable.empty())
+    if (avoided.empty())
         return;
-    m_exchange.compare(*unreachable[m_turn % unreachable.size()],
-                       [](const PeerExchange::Comparison &) {});
+    m_exchange.compare(*avoided[m_turn % avoided.size()]);
 }
 
 // Sections
@@ -215,6 +213,7 @@
 {
     noteWordOf(message.from, message.isStopping);
     noteCrashes(message.crashes);
+    m_hasHeardFromPeer |= message.heldDigest != heldDigest(SectionStore{});
     if (message.platformAge == Duration::max())
         return;
     const TimePoint heardAt = now() - message.platformAge;
@@ -300,8 +299,7 @@
         if (m_asksOpen >= m_settings.confirm.peersAsked)
             break;
         ++m_asksOpen;
-        m_exchange.compare(peer, [this, round](const PeerExchange::Comparison &comparison) {
-            m_hasPeerAnswered |= comparison.peerHoldsSections;
+        m_exchange.compare(peer, [this, round] {
             if (round == m_askRound)
                 --m_asksOpen;
             settleLater();
@@ -331,7 +329,7 @@
     facts.isFetching = m_exchange.isPulling();
     facts.isPlatformAsked = m_readsOpen == 0;
     facts.hasPlatformAnswered = m_watcher.answeredAt().has_value();
-    facts.hasPeerAnswered = m_hasPeerAnswered;
+    facts.hasPeerAnswered = m_hasHeardFromPeer;
     facts.wasReady = m_wasReady;
     facts.sinceStart = now() - m_startedAt;
     facts.sinceBase = m_baseSince ? now() - *m_baseSince : Duration{};
@@ -360,14 +358,13 @@
 {
     m_rolesChanged = false;
     const auto &list = m_views.instances();
-    if (!list || m_isStopping) {
-        const bool mayWatchList = !m_isStopping && m_readsOpen == 0;
-        m_roles = {};
-        if (mayWatchList)
-            m_roles.duties[std::string(sections::instances)] = m_settings.platform.watchWait;
-    } else {
+    m_roles = {};
+    if (list)
         m_roles = controlRoles(*list, m_views.sectionNames(), m_evidence, m_settings, m_turn / 2);
-    }
+    else if (m_readsOpen == 0)
+        m_roles.duties[std::string(sections::instances)] = m_settings.platform.watchWait;
+    if (m_isStopping)
+        m_roles.duties.clear();
     m_watcher.watchOnly(m_roles.duties);
     if (!list || m_hasAskedListed)
         return;
--- a/modules/node/src/control/ControlCore.h
+++ b/modules/node/src/control/ControlCore.h
@@ -110,7 +110,8 @@
     TimePoint m_startedAt;
     std::optional<TimePoint> m_baseSince;
     int m_readsOpen = 0;
-    bool m_hasPeerAnswered = false;
+    /// Whether any peer spoke that holds sections itself.
+    bool m_hasHeardFromPeer = false;
     bool m_hasAskedListed = false;
     /// Comparisons of the current round of asking; a new round makes answers to older ones void.
     int m_askRound = 0;
--- a/modules/node/src/control/PeerExchange.cpp
+++ b/modules/node/src/control/PeerExchange.cpp
@@ -32,19 +32,16 @@
 {
 }
 
-void PeerExchange::compare(const Instance &peer, Done done)
+void PeerExchange::compare(const Instance &peer, const Done &done)
 {
     const bool statesHeld = !m_context.settings.gossip.comparesDigests;
     send(peer, message(statesHeld), m_context.settings.gossip.compareTimeout,
-         [this, peer, statesHeld, done = std::move(done)](const ViewExchange *reply) {
-             if (!reply) {
-                 done({});
-                 return;
-             }
-             const bool isEqual = reply->heldDigest == heldDigest(m_context.store);
-             if (!isEqual && !statesHeld && isPeerBehind(m_context.store, reply->held))
+         [this, peer, statesHeld, done](const ViewExchange *reply) {
+             const bool mayLack = reply && reply->statesHeld && !statesHeld;
+             if (mayLack && isPeerBehind(m_context.store, reply->held))
                  announce(peer, {});
-             done({true, isEqual ? !m_context.store.held.empty() : !reply->held.empty()});
+             if (done)
+                 done();
          });
 }
 
@@ -161,7 +158,7 @@
     ViewExchange request = message(false);
     request.wanted = names;
     send(peer, std::move(request), m_context.settings.gossip.pullTimeout,
-         [this, names](const ViewExchange *reply) { onPulled(names, reply != nullptr); });
+         [this, names](const ViewExchange *) { onPulled(names); });
 }
 
 /// Marks sections as asked for. Those that are on their way already are left out, and the peer is
@@ -186,22 +183,20 @@
 }
 
 /// Ends pulls. What did not come, or came in an older value than another peer has, is asked for
-/// again from that one.
-void PeerExchange::onPulled(const std::vector<std::string> &names, bool isAnswered)
+/// again from that one. The rest of a full message follows by itself: what came is announced, and
+/// the peer's reply says what it holds beyond that.
+void PeerExchange::onPulled(const std::vector<std::string> &names)
 {
-    std::map<InstanceId, Instance> others;
+    std::map<InstanceId, Instance> sources;
     for (const std::string &name : names) {
-        auto pull = m_pulls.extract(name);
-        if (pull.empty())
+        const auto pull = m_pulls.extract(name);
+        if (pull.empty() || sectionsWantedFrom(m_context.store, {pull.mapped().wanted}).empty())
             continue;
-        const bool isMissing = !sectionsWantedFrom(m_context.store, {pull.mapped().wanted}).empty();
-        if (isMissing || !isAnswered) {
-            for (const Instance &other : pull.mapped().others)
-                others.emplace(other.id, other);
-        }
+        for (const Instance &other : pull.mapped().others)
+            sources.emplace(other.id, other);
     }
-    for (const auto &[id, other] : others)
-        compare(other, [](const Comparison &) {});
+    for (const auto &[id, source] : sources)
+        compare(source);
 }
 
 } // namespace oleander
--- a/modules/node/src/control/PeerExchange.h
+++ b/modules/node/src/control/PeerExchange.h
@@ -48,19 +48,14 @@
         std::function<void(ViewExchange &message)> fillIn;
     };
 
-    /// Whether a comparison brought an answer, and whether that peer holds anything.
-    struct Comparison
-    {
-        bool isAnswered = false;
-        bool peerHoldsSections = false;
-    };
-    using Done = std::function<void(const Comparison &)>;
+    using Done = std::function<void()>;
 
     PeerExchange(const Context &context, Handlers handlers);
 
     // Calling peers
-    /// Compares views with a peer; each side then fetches what it lacks.
-    void compare(const Instance &peer, Done done);
+    /// Compares views with a peer; each side then fetches what it lacks. `done`, which may be
+    /// empty, is called when the peer has answered or failed.
+    void compare(const Instance &peer, const Done &done = {});
     /// Tells a peer at once what is held, and what else fillIn() adds. `crashes` are passed on.
     void announce(const Instance &peer, std::vector<CrashNotice> crashes);
 
@@ -92,7 +87,7 @@
     void pullFrom(const Instance &peer, const std::vector<SectionSummary> &wanted);
     std::vector<std::string> startPulls(const Instance &peer,
                                         const std::vector<SectionSummary> &wanted);
-    void onPulled(const std::vector<std::string> &names, bool isAnswered);
+    void onPulled(const std::vector<std::string> &names);
 
     Context m_context;
     Handlers m_handlers;
--- /dev/null
+++ b/modules/node/tests/control/PlatformFaultTest.cpp
@@ -0,0 +1,208 @@
+#include <gtest/gtest.h>
+
+#include <control/support/SmallFleet.h>
+
+using namespace oleander;
+using oleander::testing::ControlHost;
+using oleander::testing::SmallFleet;
+
+namespace {
+
+constexpr Duration convergenceLimit = seconds(3);
+
+bool anyHoldsConfig(const SmallFleet &fleet, SectionVersion version)
+{
+    return std::ranges::any_of(
+        fleet.hosts, [&](const auto &item) { return item.second->configVersion() == version; });
+}
+
+bool convergesTo(SmallFleet &fleet, SectionVersion version)
+{
+    return fleet.scheduler.runUntil([&] { return fleet.allHoldConfig(version); }, convergenceLimit);
+}
+
+} // namespace
+
+TEST(PlatformFault, DownAfterTheFirstReaderHasTheChange)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        SmallFleet fleet(20, 4, seed);
+        ASSERT_TRUE(fleet.startReady());
+        fleet.scheduler.runFor(seconds(5));
+        const auto version = fleet.platform.publish("config", "fleet second");
+        ASSERT_TRUE(
+            fleet.scheduler.runUntil([&] { return anyHoldsConfig(fleet, version); }, seconds(1)));
+        fleet.platform.setDown(true);
+        EXPECT_TRUE(convergesTo(fleet, version)) << seed;
+    }
+}
+
+TEST(PlatformFault, LongOutageKeepsTheFleetReadyAndCallsFew)
+{
+    SmallFleet fleet(20, 4);
+    ASSERT_TRUE(fleet.startReady());
+    fleet.platform.setDown(true);
+    fleet.scheduler.runFor(seconds(60));
+    const auto before = fleet.platform.calls;
+    fleet.scheduler.runFor(seconds(60));
+    // 6 sections, each with one reader in 4 data centres, at most one call a second each.
+    EXPECT_LE(fleet.platform.calls - before, 6U * 4U * 60U);
+    EXPECT_TRUE(fleet.allReady());
+    const auto status = fleet.host("i3").node->status();
+    ASSERT_TRUE(status.platformAge.has_value());
+    EXPECT_GT(*status.platformAge, seconds(80));
+    fleet.platform.setDown(false);
+    const auto version = fleet.platform.publish("config", "fleet after");
+    EXPECT_TRUE(convergesTo(fleet, version));
+    EXPECT_LT(*fleet.host("i3").node->status().platformAge, seconds(10));
+}
+
+TEST(PlatformFault, RestartedDaemonTakesThePeersNewerVersionFromAStalePlatform)
+{
+    SmallFleet fleet(9, 3);
+    ASSERT_TRUE(fleet.startReady());
+    const auto version = fleet.platform.publish("config", "fleet second");
+    ASSERT_TRUE(convergesTo(fleet, version));
+    fleet.platform.publishOlderCopy("config", SectionVersion(1), "fleet first");
+    ControlHost &restarted = fleet.start(fleet.instance(4));
+    ASSERT_TRUE(fleet.scheduler.runUntil([&] { return restarted.node->isReady(); }, seconds(10)));
+    EXPECT_EQ(restarted.configVersion(), version);
+    fleet.scheduler.runFor(seconds(40));
+    EXPECT_TRUE(fleet.allHoldConfig(version));
+    EXPECT_EQ(fleet.reversions(), 0);
+}
+
+TEST(PlatformFault, StaleAnswersAreCountedAndDoNotLoop)
+{
+    SmallFleet fleet(6, 3);
+    ASSERT_TRUE(fleet.startReady());
+    fleet.platform.publish("config", "fleet second");
+    fleet.scheduler.runFor(seconds(3));
+    fleet.platform.publishOlderCopy("config", SectionVersion(1), "fleet first");
+    fleet.platform.setIgnoringAfter(true);
+    fleet.scheduler.runFor(seconds(35));
+    const auto before = fleet.platform.calls;
+    fleet.scheduler.runFor(seconds(30));
+    EXPECT_LT(fleet.platform.calls - before, 6U * 3U * 30U);
+    EXPECT_TRUE(fleet.allHoldConfig(SectionVersion(2)));
+    std::uint64_t old = 0;
+    int events = 0;
+    for (const auto &[id, host] : fleet.hosts) {
+        old += host->node->status().counters.sectionsOld;
+        events += host->log.counts[EventId::ConfigurationOld];
+    }
+    EXPECT_GT(old, 0U);
+    EXPECT_EQ(static_cast<std::uint64_t>(events), old);
+}
+
+TEST(PlatformFault, SlowPlatformDelaysOnlyTheFirstReader)
+{
+    SmallFleet fleet(12, 3);
+    ASSERT_TRUE(fleet.startReady());
+    fleet.platform.setLatency(seconds(4));
+    fleet.scheduler.runFor(seconds(40));
+    const auto version = fleet.platform.publish("config", "fleet second");
+    ASSERT_TRUE(
+        fleet.scheduler.runUntil([&] { return anyHoldsConfig(fleet, version); }, seconds(20)));
+    EXPECT_TRUE(convergesTo(fleet, version));
+}
+
+TEST(PlatformFault, FlappingPlatformBringsChangesAndIsNotFlooded)
+{
+    SmallFleet fleet(12, 3);
+    ASSERT_TRUE(fleet.startReady());
+    const auto before = fleet.platform.calls;
+    for (int round = 0; round < 100; ++round) {
+        fleet.platform.setDown(round % 2 == 0);
+        if (round % 10 == 1)
+            fleet.platform.publish("config", "fleet round " + std::to_string(round));
+        fleet.scheduler.runFor(milliseconds(300));
+    }
+    // 6 sections, 3 readers each, 30 s, at the minimum gap of 200 ms.
+    EXPECT_LT(fleet.platform.calls - before, 6U * 3U * 30U * 5U);
+    fleet.platform.setDown(false);
+    EXPECT_TRUE(convergesTo(fleet, fleet.platform.versionOf("config")));
+    EXPECT_EQ(fleet.reversions(), 0);
+}
+
+TEST(PlatformFault, RapidChangesAreReadAtTheMinimumGap)
+{
+    SmallFleet fleet(12, 3);
+    ASSERT_TRUE(fleet.startReady());
+    fleet.scheduler.runFor(seconds(1));
+    const auto before = fleet.platform.calls;
+    for (int change = 0; change < 300; ++change) {
+        fleet.platform.publish("config", "fleet " + std::to_string(change));
+        fleet.scheduler.runFor(milliseconds(10));
+    }
+    EXPECT_LE(fleet.platform.calls - before, 3U * 3U * 5U + 3U);
+    EXPECT_TRUE(convergesTo(fleet, fleet.platform.versionOf("config")));
+}
+
+TEST(PlatformFault, InvalidValueIsRefusedNotSpreadAndNotAskedForAgain)
+{
+    SmallFleet fleet(12, 3);
+    ASSERT_TRUE(fleet.startReady());
+    const auto bad = fleet.platform.publish("config", "fleet bad");
+    fleet.scheduler.runFor(seconds(5));
+    EXPECT_TRUE(fleet.allHoldConfig(SectionVersion(1)));
+    std::uint64_t refused = 0;
+    for (const auto &[id, host] : fleet.hosts) {
+        const auto status = host->node->status();
+        refused += status.counters.sectionsRefused;
+        for (const auto &section : status.sections) {
+            if (section.refusedVersion) {
+                EXPECT_EQ(*section.refusedVersion, bad);
+                EXPECT_EQ(section.refusedReason, "$: bad");
+            }
+        }
+    }
+    EXPECT_EQ(refused, 3U) << "one reader in each data centre, nobody else";
+    const auto calls = fleet.platform.calls;
+    fleet.scheduler.runFor(seconds(20));
+    EXPECT_LT(fleet.platform.calls - calls, 60U);
+    EXPECT_TRUE(convergesTo(fleet, fleet.platform.publish("config", "fleet mended")));
+}
+
+TEST(PlatformFault, ConfigurationOfAnotherFleetIsRefused)
+{
+    SmallFleet fleet(6, 3);
+    ASSERT_TRUE(fleet.startReady());
+    fleet.platform.publish("config", "elsewhere");
+    fleet.scheduler.runFor(seconds(5));
+    EXPECT_TRUE(fleet.allHoldConfig(SectionVersion(1)));
+}
+
+TEST(PlatformFault, TwoOperatorsAtOnce)
+{
+    SmallFleet fleet(15, 3);
+    ASSERT_TRUE(fleet.startReady());
+    for (int round = 0; round < 20; ++round) {
+        fleet.platform.publish("config", "fleet of one operator");
+        const auto last = fleet.platform.publish("config", "fleet of the other");
+        EXPECT_TRUE(convergesTo(fleet, last)) << round;
+    }
+    EXPECT_EQ(fleet.reversions(), 0);
+}
+
+TEST(PlatformFault, TwoTextsOfOneVersionEndAsOne)
+{
+    SmallFleet fleet(10, 2);
+    ASSERT_TRUE(fleet.startReady());
+    fleet.split(5);
+    fleet.scheduler.runFor(seconds(3));
+    fleet.platform.setTextFor([](const Instance &reader, std::string body) {
+        return body + (std::stoi(reader.id.text().substr(1)) < 5 ? " left" : " right");
+    });
+    const auto version = fleet.platform.publish("config", "fleet two");
+    fleet.scheduler.runFor(seconds(3));
+    fleet.heal();
+    const auto digests = [&] {
+        std::set<std::uint64_t> found;
+        for (const auto &[id, host] : fleet.hosts)
+            found.insert(host->node->status().sections.front().summary.digest);
+        return found.size();
+    };
+    EXPECT_TRUE(fleet.allHoldConfig(version));
+    EXPECT_TRUE(fleet.scheduler.runUntil([&] { return digests() == 1; }, convergenceLimit));
+}
--- a/modules/node/tests/control/support/ControlFleet.h
+++ b/modules/node/tests/control/support/ControlFleet.h
@@ -3,13 +3,13 @@
 #include <oleander/node/ControlNode.h>
 
 #include <algorithm>
+#include <control/support/FakePeers.h>
+#include <control/support/FakePlatform.h>
 #include <map>
 #include <memory>
 #include <random>
 #include <set>
 #include <string>
-#include <control/support/FakePeers.h>
-#include <control/support/FakePlatform.h>
 #include <utility>
 #include <vector>
 
@@ -103,7 +103,7 @@
         host->instance = instance;
         host->timer = std::make_shared<VirtualTimer>(scheduler);
         host->network = std::make_shared<FakePeerNetwork>(wire, instance, host->timer);
-        host->platform = std::make_unique<FakePlatformReader>(platform, host->timer);
+        host->platform = std::make_unique<FakePlatformReader>(platform, instance, host->timer);
         host->random = std::make_unique<SeededRandom>(++m_seed);
         ControlSettings own = settings;
         own.self = instance;
--- a/modules/node/tests/control/support/FakePeers.h
+++ b/modules/node/tests/control/support/FakePeers.h
@@ -2,12 +2,12 @@
 
 #include <oleander/ports/PeerNetwork.h>
 
+#include <control/support/MessageSize.h>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
-#include <control/support/MessageSize.h>
 #include <support/VirtualTimer.h>
 #include <utility>
 
--- a/modules/node/tests/control/support/FakePlatform.h
+++ b/modules/node/tests/control/support/FakePlatform.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <oleander/core/FleetView.h>
 #include <oleander/ports/PlatformReader.h>
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -38,6 +40,19 @@
     // Faults
     void setDown(bool isDown) { m_isDown = isDown; }
     void setLatency(Duration latency) { m_latency = latency; }
+    /// Answers from now on with this older value, as a copy that lags behind would.
+    void publishOlderCopy(const std::string &key, SectionVersion version, std::string body)
+    {
+        m_values[key] = {version, std::move(body)};
+        wake(key);
+    }
+    /// Answers at once although nothing newer is there.
+    void setIgnoringAfter(bool isIgnoring) { m_isIgnoringAfter = isIgnoring; }
+    /// Changes the text that a reader gets, without a version of its own.
+    void setTextFor(std::function<std::string(const Instance &, std::string)> change)
+    {
+        m_textFor = std::move(change);
+    }
     /// From now on answers as of now, until endStale().
     void beginStale() { m_stale = std::make_unique<Values>(m_values); }
     void endStale()
@@ -53,10 +68,11 @@
     [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
 
     // For readers
-    void read(const std::string &key, SectionVersion after, Duration wait, PlatformCallback reply)
+    void read(const Instance &reader, const std::string &key, SectionVersion after, Duration wait,
+              PlatformCallback reply)
     {
         ++calls;
-        Waiting entry{key, after, ++m_sequence, std::move(reply)};
+        Waiting entry{key, after, ++m_sequence, reader, std::move(reply)};
         const auto number = entry.sequence;
         m_waiting.push_back(std::move(entry));
         mostWaiting = std::max(mostWaiting, m_waiting.size());
@@ -76,6 +92,7 @@
         std::string key;
         SectionVersion after;
         std::uint64_t sequence;
+        Instance reader;
         PlatformCallback reply;
     };
 
@@ -87,9 +104,12 @@
         const auto found = values.find(entry.key);
         if (found == values.end())
             return {PlatformStatus::NotFound, {}, {}};
-        if (found->second.version <= entry.after)
+        if (found->second.version <= entry.after && !m_isIgnoringAfter)
             return {PlatformStatus::NotChanged, {}, {}};
-        return {PlatformStatus::Ok, found->second.version, found->second.body};
+        std::string body = found->second.body;
+        if (m_textFor)
+            body = m_textFor(entry.reader, std::move(body));
+        return {PlatformStatus::Ok, found->second.version, std::move(body)};
     }
 
     /// Answers those who wait for this key and need not wait longer.
@@ -125,7 +145,9 @@
     std::unique_ptr<Values> m_stale;
     std::list<Waiting> m_waiting;
     std::uint64_t m_sequence = 0;
+    std::function<std::string(const Instance &, std::string)> m_textFor;
     bool m_isDown = false;
+    bool m_isIgnoringAfter = false;
     Duration m_latency = milliseconds(3);
 };
 
@@ -133,8 +155,9 @@
 class FakePlatformReader final : public PlatformReader
 {
 public:
-    FakePlatformReader(FakePlatform &platform, std::shared_ptr<VirtualTimer> timer)
+    FakePlatformReader(FakePlatform &platform, Instance self, std::shared_ptr<VirtualTimer> timer)
         : m_platform(platform)
+        , m_self(std::move(self))
         , m_timer(std::move(timer))
     {
     }
@@ -164,10 +187,11 @@
         if (m_isCut)
             m_timer->deliverAt(m_timer->now() + seconds(1), [deliver] { deliver({}); });
         else
-            m_platform.read(key, after, wait, deliver);
+            m_platform.read(m_self, key, after, wait, deliver);
     }
 
     FakePlatform &m_platform;
+    Instance m_self;
     std::shared_ptr<VirtualTimer> m_timer;
     bool m_isCut = false;
 };
--- a/modules/node/tests/control/support/SmallFleet.h
+++ b/modules/node/tests/control/support/SmallFleet.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <string>
 #include <control/support/ControlFleet.h>
 #include <control/support/PlainParsers.h>
+#include <string>
 
 namespace oleander::testing {
 
