--- a/modules/node/tests/support/FaultSession.cpp
+++ b/modules/node/tests/support/FaultSession.cpp
@@ -109,6 +109,11 @@
         }
     };
     fleet.submit(entry, query, resends);
+    if (session.isImpatient) {
+        // Sent again through another entry while the first is under way.
+        const int second = (entry + 1) % fleet.daemons();
+        fleet.later(milliseconds(2), [&fleet, second, query] { fleet.submit(second, query, 1); });
+    }
     fleet.runFor(milliseconds(20));
     submitOthers(fleet, "after");
     fleet.runFor(healingTime);
@@ -123,6 +128,7 @@
 {
     std::string text = session.isAmms ? "AMMS" : "Fotolector";
     text += session.isIdempotent ? " query" : " claim";
+    text += session.isImpatient ? " sent twice" : "";
     text += " seed " + std::to_string(session.seed);
     for (const Strike &strike : session.strikes)
         text += ", " + std::string(strike.fault->name) + " at " + std::string(nameOf(strike.step));
--- a/modules/node/tests/support/FaultSession.h
+++ b/modules/node/tests/support/FaultSession.h
@@ -16,6 +16,8 @@
 {
     bool isAmms = true;
     bool isIdempotent = true;
+    /// The caller sends the observed query through two entries at once.
+    bool isImpatient = false;
     std::uint64_t seed = 1;
     std::vector<Strike> strikes;
 };
--- a/modules/node/tests/support/History.h
+++ b/modules/node/tests/support/History.h
@@ -62,6 +62,15 @@
     ServerId server;
 };
 
+/// A view came into force at a daemon, of whatever process.
+struct VersionEvent
+{
+    TimePoint at;
+    int daemon = 0;
+    SectionVersion configuration;
+    SectionVersion instances;
+};
+
 /// Everything that a session did, for the judge and for golden files.
 struct History
 {
@@ -88,6 +97,10 @@
     std::vector<DrainEvidence> drains;
     /// Every partition map that was ever published.
     std::vector<std::shared_ptr<const PartitionMap>> maps;
+    std::vector<VersionEvent> versions;
+    /// At the end: the configuration in force at each ready daemon, and the newest published one.
+    std::vector<SectionVersion> finalVersions;
+    SectionVersion newestConfiguration;
     /// Servers lost while they executed the query that crashes servers.
     std::set<ServerId> crashedServers;
     /// Most connections that a server held at once beyond its cap.
