--- a/standins/src/ServerState.cpp
+++ b/standins/src/ServerState.cpp
@@ -198,7 +198,7 @@
     double time = half + std::exponential_distribution<double>(1 / half)(random);
     if (random() % 1000 < shape.stragglerShare.value)
         time *= shape.stragglerFactor;
-    if (Clock::now() - started < shape.coldTime)
+    if (Clock::now() < warmFrom)
         time *= shape.coldFactor;
     constexpr double percent = 100;
     return Duration(static_cast<Duration::rep>(time * faults.slowPercent / percent));
@@ -215,7 +215,7 @@
     if (faults.answersOtherSnapshot)
         reply.snapshot = SnapshotId(request.snapshot.value() + 1);
     if (kind == ReplyKind::Ok || kind == ReplyKind::AlreadyRan)
-        reply.documents = documentsOf(request.shard, reply.snapshot, shape);
+        reply.documents = documentsOf(request.shard, reply.snapshot, request.payload, shape);
     reply.reportedLoad = reportedLoad();
     if (shape.networkDelay <= Duration{}) {
         send(reply, execution.respond);
