--- a/bench/include/oleander/bench/Scenario.h
+++ b/bench/include/oleander/bench/Scenario.h
@@ -73,6 +73,8 @@
     int urgentPercent = 0;
     /// Time at which a new snapshot is published; zero means never.
     Duration repartitionAt{};
+    /// Load on every service of the customer, with all servers of the brief and 20 daemons.
+    bool isWholeFleet = false;
 };
 
 /// One run: customer, scenario and variant, written "amms/stragglers-60/policy".
@@ -104,7 +106,8 @@
     Duration serviceTime = milliseconds(5);
 };
 
-/// Writes what a run needs into its folder: the fleet's files, load.json for the load tool,
+/// Writes what a run needs into its folder: the fleet's files with a settings file for each daemon
+/// to start, load.json for the load tool,
 /// servers.args with the options of standin-server, and daemon-actions with a line
 /// "milliseconds instance action" for each.
 std::optional<LoadPlan> prepareRun(const RunName &run, const RunSettings &settings, Reason &reason);
--- a/bench/src/ScenarioFiles.cpp
+++ b/bench/src/ScenarioFiles.cpp
@@ -31,22 +31,24 @@
     return text.str();
 }
 
-/// The customer's fleet cut to the one service under load.
+/// The customer's fleet, cut to the one service under load unless all are.
 std::optional<FleetShape> fleetOf(const RunName &run, const RunSettings &settings, Reason &reason)
 {
     auto shape = standins::fleetNamed(run.customer.name, reason);
     if (!shape)
         return std::nullopt;
-    std::erase_if(shape->services, [&](const ServiceShape &service) {
-        return service.service != run.customer.service;
-    });
-    shape->instances = settings.instances;
+    if (!run.scenario.isWholeFleet) {
+        shape->instances = settings.instances;
+        std::erase_if(shape->services, [&](const ServiceShape &service) {
+            return service.service != run.customer.service;
+        });
+    }
     shape->basePort = settings.basePort;
     shape->defaults["patience"] = json(std::string(nameOf(run.customer.patience))).dump();
     for (const auto &[name, value] : run.scenario.defaults)
         shape->defaults[name] = value;
     if (run.variant == Variant::Straight)
-        shape->defaults["coordinators"] = std::to_string(settings.instances);
+        shape->defaults["coordinators"] = std::to_string(shape->instances);
     return shape;
 }
 
@@ -104,6 +106,17 @@
     return classes;
 }
 
+/// The classes of queries to one service.
+void addClasses(std::vector<QueryClass> &classes, const RunName &run, const ServiceShape &service,
+                const RunSettings &settings)
+{
+    const auto shards = shardNames(settings.folder, service.service);
+    for (auto &query : classesOf(run, service, capacityOf(service, settings.serviceTime))) {
+        query.shards = shards;
+        classes.push_back(std::move(query));
+    }
+}
+
 std::string withService(std::string target, const std::string &service)
 {
     const std::string mark = "SERVICE";
@@ -164,20 +177,17 @@
     if (!shape || !writeFleet(*shape, settings.folder, reason))
         return std::nullopt;
     const FleetPorts ports{settings.basePort};
-    const auto &service = shape->services.front();
     LoadPlan plan;
     plan.name = run.text();
     plan.warmUp = settings.warmUp;
     plan.length = settings.length;
     plan.seed = settings.seed;
-    for (int instance = 0; instance < settings.instances; ++instance)
+    for (int instance = 0; instance < shape->instances; ++instance)
         plan.targets.push_back(loopback(ports.caller(instance)));
     plan.serversAdmin = loopback(ports.serversAdmin());
     plan.platformAdmin = loopback(ports.platformAdmin());
-    plan.classes = classesOf(run, service, capacityOf(service, settings.serviceTime));
-    const auto shards = shardNames(settings.folder, service.service);
-    for (auto &query : plan.classes)
-        query.shards = shards;
+    for (const auto &service : shape->services)
+        addClasses(plan.classes, run, service, settings);
     plan.actions = actionsOf(run, settings);
     writeArguments(run, settings);
     std::ofstream(settings.folder + "/load.json") << loadPlanText(plan) << '\n';
--- a/bench/src/ScenarioTable.cpp
+++ b/bench/src/ScenarioTable.cpp
@@ -126,6 +126,13 @@
     return scenario;
 }
 
+Scenario wholeFleet()
+{
+    auto scenario = base("whole-fleet-30", "every service and server of the brief, 20 daemons", 30);
+    scenario.isWholeFleet = true;
+    return scenario;
+}
+
 std::vector<Scenario> makeTable()
 {
     return {
@@ -163,6 +170,7 @@
         claims(),
         repartition(),
         overload(),
+        wholeFleet(),
     };
 }
 
--- a/bench/tests/ScenarioTest.cpp
+++ b/bench/tests/ScenarioTest.cpp
@@ -32,6 +32,7 @@
     settings.folder = folder.string();
     for (const auto &run : listRuns(false)) {
         Reason reason;
+        std::filesystem::remove_all(folder);
         const auto plan = prepareRun(run, settings, reason);
         ASSERT_TRUE(plan) << run.text() << ": " << reason.text;
         const auto again = parseLoadPlan(loadPlanText(*plan), reason);
