Daemon: peer sessions, metrics, burn and logs

Cause: daemons did not reach each other, and operators saw nothing. Change: nghttp2 sessions on the control thread, workers through PostedPeerNetwork; a call to the own instance for another worker's service stays in the process; /status, /control, /burn, /metrics; glog to stderr.

--- a/modules/daemon/src/Daemon.cpp
+++ b/modules/daemon/src/Daemon.cpp
@@ -1,10 +1,13 @@
-#include "PeerRouter.h"
 #include "StatusPage.h"
-#include "UnreachablePeers.h"
 #include "ViewBoard.h"
 #include "Worker.h"
 
+#include <oleander/adapters/log/GlogEventLog.h>
+#include <oleander/adapters/metrics/BurnKeeper.h>
+#include <oleander/adapters/metrics/PrometheusText.h>
+#include <oleander/adapters/metrics/QueryMetrics.h>
 #include <oleander/adapters/operators/OperatorServer.h>
+#include <oleander/adapters/peers/Http2PeerNetwork.h>
 #include <oleander/adapters/platform/AsioPlatformReader.h>
 #include <oleander/daemon/Daemon.h>
 #include <oleander/node/ControlNode.h>
@@ -46,37 +49,26 @@
     return control;
 }
 
-/// Counts nothing.
-class NoObserver final : public QueryObserver
-{
-public:
-    void onQueryFinished(const Query &, const Answer &, Duration) override {}
-    void onSubRequestFinished(const SubRequestRecord &) override {}
-};
-
-class NoLog final : public EventLog
-{
-public:
-    void record(EventId, const RequestId &, std::string_view) override {}
-};
-
 } // namespace
 
-struct Daemon::Impl
+struct Daemon::Impl : private PeerHandler
 {
     explicit Impl(DaemonSettings newSettings)
         : settings(std::move(newSettings))
         , timers(control.context())
         , random(SeededRandom::unpredictable())
+        , metrics(board)
+        , burn(metrics, board, timers, settings.instance)
+        , peers(control.context(), timers, log,
+                {settings.instance, settings.fleet, settings.peerKey})
         , platform(control.context(), settings.platformAddresses, PlatformReaderLimits{})
         , operators(control.context())
         , node({timers, peers, platform, random, log}, controlSettings(settings), sectionParsers(),
                hooks())
-        , router(control, node, workers)
     {
         for (int number = 0; number < settings.workerThreads; ++number)
             workers.push_back(std::make_unique<Worker>(workerShared(), identityOf(number)));
-        peers.setHandler(&router);
+        peers.setHandler(this);
         addPages();
     }
 
@@ -99,7 +91,7 @@
                 peers,
                 board,
                 log,
-                observer,
+                metrics.addThread(),
                 [this](PeerRequest request, std::shared_ptr<PeerResponder> responder) {
                     routeLocally(std::move(request), std::move(responder));
                 }};
@@ -119,14 +111,40 @@
             return;
         }
         Worker &worker = workerOf(workers, query->query.service);
-        worker.takePeerQuery(std::move(*query), std::move(responder));
+        worker.takeLocalRequest(std::move(request), std::move(responder));
+    }
+
+    // PeerHandler, on the control thread
+    void onPeerRequest(PeerRequest request, std::shared_ptr<PeerResponder> responder) override
+    {
+        const auto *query = std::get_if<PeerQuery>(&request);
+        if (!query) {
+            node.onPeerRequest(std::move(request), std::move(responder));
+            return;
+        }
+        Worker &worker = workerOf(workers, query->query.service);
+        worker.peerNetwork().deliver(std::move(request), std::move(responder));
     }
 
     void addPages()
     {
         operators.addPage("/readyz", [this](const std::string &) { return readyPage(); });
-        operators.addDeferredPage(
-            "/status", [this](const std::string &, auto reply) { collectStatus(reply); });
+        operators.addPage("/control", [this](const std::string &) {
+            return jsonPage(controlPage(node.status()));
+        });
+        operators.addPage("/burn",
+                          [this](const std::string &) { return jsonPage(toJson(burn.burn())); });
+        operators.addDeferredPage("/status", [this](const std::string &, auto reply) {
+            collectStatus([this, reply](const std::vector<QueryNodeStatus> &workerStatus) {
+                reply(jsonPage(
+                    toJson(daemonStatus(settings, node.status(), workerStatus, uptime()))));
+            });
+        });
+        operators.addDeferredPage("/metrics", [this](const std::string &, auto reply) {
+            collectStatus([this, reply](const std::vector<QueryNodeStatus> &workerStatus) {
+                reply(metricsPage(workerStatus));
+            });
+        });
     }
 
     OperatorPage readyPage() const
@@ -142,19 +160,34 @@
         return page;
     }
 
-    void collectStatus(const std::function<void(OperatorPage)> &reply)
+    static OperatorPage jsonPage(std::string body)
+    {
+        OperatorPage page;
+        page.contentType = "application/json";
+        page.body = std::move(body);
+        return page;
+    }
+
+    OperatorPage metricsPage(const std::vector<QueryNodeStatus> &workerStatus) const
+    {
+        const DaemonStatus status = daemonStatus(settings, node.status(), workerStatus, uptime());
+        OperatorPage page;
+        page.contentType = "text/plain; version=0.0.4";
+        page.body = prometheusText(metrics.totals(), gaugesOf(status, node.status(), log));
+        return page;
+    }
+
+    [[nodiscard]] Duration uptime() const { return timers.now() - startedAt; }
+
+    void collectStatus(const std::function<void(std::vector<QueryNodeStatus>)> &whenCollected)
     {
         auto collected = std::make_shared<std::vector<QueryNodeStatus>>();
         for (const auto &worker : workers) {
-            worker->readStatus([this, collected, reply](const QueryNodeStatus &status) {
-                control.post([this, collected, reply, status] {
+            worker->readStatus([this, collected, whenCollected](const QueryNodeStatus &status) {
+                control.post([this, collected, whenCollected, status] {
                     collected->push_back(status);
-                    if (collected->size() < workers.size())
-                        return;
-                    OperatorPage page;
-                    page.contentType = "application/json";
-                    page.body = statusPage(settings, node.status(), *collected);
-                    reply(std::move(page));
+                    if (collected->size() == workers.size())
+                        whenCollected(*collected);
                 });
             });
         }
@@ -164,6 +197,9 @@
     {
         if (!operators.listen(settings.operatorAddress, reason))
             return false;
+        if (!peers.listen(settings.peerAddress, reason))
+            return false;
+        log.record(EventId::DaemonStarted, settings.instance.text());
         node.start();
         for (const auto &worker : workers) {
             if (!worker->start(settings.callerAddress, reason))
@@ -179,6 +215,7 @@
             if (isStopping)
                 return;
             isStopping = true;
+            log.record(EventId::DaemonStopping, settings.instance.text());
             node.beginStop();
             peers.beginStop();
             lameDuck = timers.callAfter(lameDuckTime, [this](const TimerTick &) { stopWorkers(); });
@@ -190,7 +227,7 @@
         for (const auto &worker : workers) {
             worker->beginStop([this] {
                 if (idleWorkers.fetch_add(1) + 1 == settings.workerThreads)
-                    control.post([this] { ended.set_value(); });
+                    control.post([this] { peers.whenStopped([this] { ended.set_value(); }); });
             });
         }
     }
@@ -198,6 +235,7 @@
     void wait()
     {
         ended.get_future().wait();
+        log.record(EventId::DaemonStopped, settings.instance.text());
         end();
     }
 
@@ -210,22 +248,23 @@
             controlThread.join();
     }
 
-    ~Impl() { end(); }
+    ~Impl() override { end(); }
 
     DaemonSettings settings;
-    NoLog log;
-    NoObserver observer;
+    GlogEventLog log;
     ViewBoard board;
     EventLoop control;
     AsioTimerService timers;
     SeededRandom random;
-    UnreachablePeers peers{timers};
+    QueryMetrics metrics;
+    BurnKeeper burn;
+    Http2PeerNetwork peers;
     AsioPlatformReader platform;
     OperatorServer operators;
     std::vector<std::unique_ptr<Worker>> workers;
     ControlNode node;
-    PeerRouter router;
     std::thread controlThread;
+    TimePoint startedAt = timers.now();
     Subscription lameDuck;
     bool isStopping = false;
     std::atomic<int> idleWorkers = 0;
--- a/modules/daemon/src/StatusPage.cpp
+++ b/modules/daemon/src/StatusPage.cpp
@@ -50,63 +50,73 @@
     return json;
 }
 
-void addConfiguration(Json &page, const ControlStatus &control)
+} // namespace
+
+DaemonStatus daemonStatus(const DaemonSettings &settings, const ControlStatus &control,
+                          const std::vector<QueryNodeStatus> &workers, Duration uptime)
 {
-    page["configurationVersion"] = 0;
-    page["configurationAgeMs"] = nullptr;
+    DaemonStatus status;
+    status.instance = settings.instance;
+    status.dataCentre = settings.dataCentre;
+    status.isReady = control.isReady;
+    status.isStopping = control.isStopping;
+    status.uptime = uptime;
     for (const SectionStatus &section : control.sections) {
-        if (section.summary.name != "config")
-            continue;
-        page["configurationVersion"] = section.summary.version.value();
-        page["configurationAgeMs"] = inMilliseconds(section.age);
+        if (section.summary.name == "config")
+            status.configuration = section.summary.version;
     }
-    page["platformReachable"] = control.isPlatformReachable;
-    page["platformAgeMs"] = nullptr;
-    if (control.platformAge)
-        page["platformAgeMs"] = inMilliseconds(*control.platformAge);
-}
-
-void addWork(Json &page, const std::vector<QueryNodeStatus> &workers)
-{
-    Json coordinated = Json::array();
-    QueryNodeStatus sum;
+    status.configurationAge = control.platformAge.value_or(Duration{});
     for (const QueryNodeStatus &worker : workers) {
         for (const ServiceId &service : worker.coordinated)
-            coordinated.push_back(service.text());
-        sum.connections += worker.connections;
-        sum.activeQueries += worker.activeQueries;
-        sum.waitingSubRequests += worker.waitingSubRequests;
-        sum.refusals += worker.refusals;
-        sum.suspicions += worker.suspicions;
+            status.coordinated.push_back(service);
+        status.connections += worker.connections;
+        status.activeQueries += worker.activeQueries;
+        status.waitingSubRequests += worker.waitingSubRequests;
+        status.refusals += worker.refusals;
+        status.suspicions += worker.suspicions;
     }
-    page["coordinated"] = std::move(coordinated);
-    page["connections"] = sum.connections;
-    page["activeQueries"] = sum.activeQueries;
-    page["waitingSubRequests"] = sum.waitingSubRequests;
-    page["refusals"] = sum.refusals;
-    page["suspicions"] = sum.suspicions;
+    return status;
 }
 
-} // namespace
-
-std::string statusPage(const DaemonSettings &settings, const ControlStatus &control,
-                       const std::vector<QueryNodeStatus> &workers)
+std::string controlPage(const ControlStatus &control)
 {
     Json page;
-    page["instance"] = settings.instance.text();
-    page["fleet"] = settings.fleet.text();
-    page["dataCentre"] = settings.dataCentre.text();
     page["ready"] = control.isReady;
     page["notReadyReason"] = control.notReadyReason;
-    page["stopping"] = control.isStopping;
-    addConfiguration(page, control);
-    addWork(page, workers);
-    page["unreachablePeers"] = namesJson(control.unreachable);
-    page["leavingPeers"] = namesJson(control.leaving);
+    page["platformReachable"] = control.isPlatformReachable;
+    page["platformAgeMs"] = nullptr;
+    if (control.platformAge)
+        page["platformAgeMs"] = inMilliseconds(*control.platformAge);
     page["readerOf"] = control.readerOf;
+    page["neighbours"] = namesJson(control.neighbours);
+    page["unreachable"] = namesJson(control.unreachable);
+    page["leaving"] = namesJson(control.leaving);
     page["sections"] = sectionsJson(control);
-    page["control"] = countersJson(control.counters);
+    page["counters"] = countersJson(control.counters);
     return page.dump(2) + "\n";
 }
 
+std::vector<Gauge> gaugesOf(const DaemonStatus &status, const ControlStatus &control,
+                            const GlogEventLog &log)
+{
+    const auto number = [](auto value) { return static_cast<double>(value); };
+    return {
+        {"ready", "1 when the daemon takes queries.", status.isReady ? 1.0 : 0.0},
+        {"configuration_version", "Version of the configuration in force.",
+         number(status.configuration.value())},
+        {"configuration_age_seconds", "Time since the configuration was last confirmed.",
+         inMilliseconds(status.configurationAge) / 1000},
+        {"server_connections", "Open connections to backend servers.", number(status.connections)},
+        {"active_queries", "Queries under way.", number(status.activeQueries)},
+        {"waiting_subrequests", "Sub-requests that wait for a slot.",
+         number(status.waitingSubRequests)},
+        {"crash_suspicions", "Queries suspected of crashing servers.", number(status.suspicions)},
+        {"unreachable_peers", "Peers that lately did not answer.",
+         number(control.unreachable.size())},
+        {"platform_calls", "Calls to the configuration service since the start.",
+         number(control.counters.platformCalls)},
+        {"dropped_log_lines", "Log lines dropped since the start.", number(log.droppedLines())},
+    };
+}
+
 } // namespace oleander
--- a/modules/daemon/src/Worker.cpp
+++ b/modules/daemon/src/Worker.cpp
@@ -6,11 +6,13 @@
     : m_timers(m_loop.context())
     , m_servers(m_loop.context(), ServerNetworkLimits{})
     , m_random(SeededRandom::unpredictable())
-    , m_peers(m_loop, shared.control, shared.network, identity.instance, shared.routeLocally)
+    , m_remotePeers(m_loop, shared.control, shared.network)
+    , m_peers(m_loop, m_remotePeers, identity.instance, shared.routeLocally)
     , m_node({m_timers, m_servers, m_peers, m_random, shared.views, shared.log, shared.observer},
              identity)
     , m_callers(m_loop.context(), m_node, shared.log, HttpLimits{})
 {
+    m_remotePeers.setHandler(this);
 }
 
 Worker::~Worker()
@@ -43,13 +45,21 @@
     m_thread.join();
 }
 
-void Worker::takePeerQuery(PeerQuery message, std::shared_ptr<PeerResponder> responder)
+void Worker::takeLocalRequest(PeerRequest request, std::shared_ptr<PeerResponder> responder)
 {
-    m_loop.post([this, message = std::move(message), responder = std::move(responder)]() mutable {
-        m_node.onPeerQuery(std::move(message), std::move(responder));
+    m_loop.post([this, request = std::move(request), responder = std::move(responder)]() mutable {
+        onPeerRequest(std::move(request), std::move(responder));
     });
 }
 
+void Worker::onPeerRequest(PeerRequest request, std::shared_ptr<PeerResponder> responder)
+{
+    if (auto *query = std::get_if<PeerQuery>(&request))
+        m_node.onPeerQuery(std::move(*query), std::move(responder));
+    else
+        responder->refuse();
+}
+
 void Worker::takeCrashNotice(const CrashNotice &notice)
 {
     m_loop.post([this, notice] { m_node.onCrashNotices({notice}); });
--- a/modules/daemon/src/Worker.h
+++ b/modules/daemon/src/Worker.h
@@ -4,6 +4,7 @@
 
 #include <oleander/adapters/callers/CallerServer.h>
 #include <oleander/adapters/concurrency/EventLoop.h>
+#include <oleander/adapters/peers/PostedPeerNetwork.h>
 #include <oleander/adapters/servers/AsioServerNetwork.h>
 #include <oleander/adapters/time/AsioTimerService.h>
 #include <oleander/adapters/time/SeededRandom.h>
@@ -19,7 +20,7 @@
 
 /// One worker thread with everything that it owns: its loop, timers, connections, its query node
 /// and its listener for callers.
-class Worker
+class Worker : private PeerHandler
 {
 public:
     struct Shared
@@ -33,7 +34,7 @@
     };
 
     Worker(const Shared &shared, const QueryNode::Identity &identity);
-    ~Worker();
+    ~Worker() override;
 
     // Life
     /// Opens the listener for callers, then starts the thread.
@@ -44,17 +45,23 @@
     void join();
 
     // From other threads
-    void takePeerQuery(PeerQuery message, std::shared_ptr<PeerResponder> responder);
+    /// A request of another worker of this process.
+    void takeLocalRequest(PeerRequest request, std::shared_ptr<PeerResponder> responder);
+    /// Where requests that arrive at the peer network are delivered.
+    [[nodiscard]] PostedPeerNetwork &peerNetwork() { return m_remotePeers; }
     void takeCrashNotice(const CrashNotice &notice);
     void readStatus(std::function<void(QueryNodeStatus)> callback);
     [[nodiscard]] bool ownsService(const ServiceId &service) const;
-    [[nodiscard]] EventLoop &loop() { return m_loop; }
 
 private:
+    // PeerHandler
+    void onPeerRequest(PeerRequest request, std::shared_ptr<PeerResponder> responder) override;
+
     EventLoop m_loop;
     AsioTimerService m_timers;
     AsioServerNetwork m_servers;
     SeededRandom m_random;
+    PostedPeerNetwork m_remotePeers;
     WorkerPeers m_peers;
     QueryNode m_node;
     CallerServer m_callers;
--- a/modules/daemon/src/WorkerPeers.cpp
+++ b/modules/daemon/src/WorkerPeers.cpp
@@ -1,9 +1,14 @@
 #include "WorkerPeers.h"
 
-#include "PostedResponder.h"
-
 namespace oleander {
 
+namespace {
+
+/// Ids of calls inside the process have this bit, those of the network have not.
+constexpr std::uint64_t localMark = std::uint64_t{1} << 63U;
+
+} // namespace
+
 /// Answers a call that did not leave the process. Used on the worker that serves it.
 class WorkerPeers::LocalResponder final : public PeerResponder
 {
@@ -14,12 +19,11 @@
     {
     }
 
-    ~LocalResponder() override { end(PeerOutcome{PeerProof::MaybeProcessed, std::nullopt}); }
+    ~LocalResponder() override { end({PeerProof::MaybeProcessed, std::nullopt}); }
 
-    void reply(PeerReply reply) override { end(PeerOutcome{PeerProof::Replied, std::move(reply)}); }
-    void refuse() override { end(PeerOutcome{PeerProof::NotProcessed, std::nullopt}); }
-    /// The query's own deadline ends it; the caller of an abandoned one is not told.
-    void onCancel(std::function<void()> callback) override { (void)callback; }
+    void reply(PeerReply reply) override { end({PeerProof::Replied, std::move(reply)}); }
+    void refuse() override { end({PeerProof::NotProcessed, std::nullopt}); }
+    void onCancel(std::function<void()>) override {}
 
 private:
     void end(PeerOutcome outcome)
@@ -29,7 +33,7 @@
         m_isEnded = true;
         m_origin.m_worker.post(
             [origin = &m_origin, call = m_call, outcome = std::move(outcome)]() mutable {
-                origin->onOutcome(call, std::move(outcome));
+                origin->onLocalOutcome(call, std::move(outcome));
             });
     }
 
@@ -38,11 +42,10 @@
     bool m_isEnded = false;
 };
 
-WorkerPeers::WorkerPeers(EventLoop &worker, EventLoop &control, PeerNetwork &network,
-                         InstanceId self, RouteLocally routeLocally)
+WorkerPeers::WorkerPeers(EventLoop &worker, PeerNetwork &remote, InstanceId self,
+                         RouteLocally routeLocally)
     : m_worker(worker)
-    , m_control(control)
-    , m_network(network)
+    , m_remote(remote)
     , m_self(std::move(self))
     , m_routeLocally(std::move(routeLocally))
 {
@@ -51,60 +54,30 @@
 PeerCallId WorkerPeers::call(const Instance &peer, PeerRequest request, Duration timeLeft,
                              PeerCallback callback)
 {
-    const PeerCallId id(++m_lastCall);
-    auto call = std::make_shared<Call>();
-    m_open.emplace(id, Open{std::move(callback), call});
-    if (peer.id == m_self) {
-        m_routeLocally(std::move(request), std::make_shared<LocalResponder>(*this, id));
-        return id;
-    }
-    callNetwork(id, call, peer, std::move(request), timeLeft);
+    if (peer.id != m_self)
+        return m_remote.call(peer, std::move(request), timeLeft, std::move(callback));
+    const PeerCallId id(++m_lastLocal | localMark);
+    m_localCalls.emplace(id, std::move(callback));
+    m_routeLocally(std::move(request), std::make_shared<LocalResponder>(*this, id));
     return id;
 }
 
-void WorkerPeers::callNetwork(PeerCallId id, const std::shared_ptr<Call> &call,
-                              const Instance &peer, PeerRequest request, Duration timeLeft)
+void WorkerPeers::cancel(PeerCallId call)
 {
-    m_control.post([this, id, call, peer, timeLeft, request = std::move(request)]() mutable {
-        if (call->isCancelled)
-            return;
-        call->onNetwork =
-            m_network.call(peer, std::move(request), timeLeft, [this, id](PeerOutcome outcome) {
-                m_worker.post([this, id, outcome = std::move(outcome)]() mutable {
-                    onOutcome(id, std::move(outcome));
-                });
-            });
-    });
-}
-
-void WorkerPeers::cancel(PeerCallId id)
-{
-    const auto found = m_open.find(id);
-    if (found == m_open.end())
+    if ((call.value() & localMark) == 0) {
+        m_remote.cancel(call);
         return;
-    const auto call = found->second.call;
-    m_open.erase(found);
-    m_control.post([this, call] {
-        call->isCancelled = true;
-        if (!call->onNetwork.isNone())
-            m_network.cancel(call->onNetwork);
-    });
-}
-
-void WorkerPeers::setHandler(PeerHandler *handler)
-{
-    (void)handler;
+    }
+    m_localCalls.erase(call);
 }
 
-void WorkerPeers::beginStop() {}
-
-void WorkerPeers::onOutcome(PeerCallId id, PeerOutcome outcome)
+void WorkerPeers::onLocalOutcome(PeerCallId call, PeerOutcome outcome)
 {
-    const auto found = m_open.find(id);
-    if (found == m_open.end())
+    const auto found = m_localCalls.find(call);
+    if (found == m_localCalls.end())
         return;
-    const PeerCallback callback = std::move(found->second.callback);
-    m_open.erase(found);
+    const PeerCallback callback = std::move(found->second);
+    m_localCalls.erase(found);
     callback(std::move(outcome));
 }
 
--- a/programs/oleanderwayd.cpp
+++ b/programs/oleanderwayd.cpp
@@ -1,6 +1,7 @@
 #include <oleander/daemon/Daemon.h>
 
 #include <cxxopts.hpp>
+#include <glog/logging.h>
 
 #include <csignal>
 #include <fstream>
@@ -40,6 +41,8 @@
 int run(const std::string &path)
 {
     const sigset_t signals = blockStopSignals();
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging("oleanderwayd");
     oleander::Reason reason;
     auto settings = readSettings(path, reason);
     if (!settings) {
