--- a/modules/adapters/src/callers/QueryCodec.cpp
+++ b/modules/adapters/src/callers/QueryCodec.cpp
@@ -91,10 +91,14 @@
 
 ordered_json documentsToJson(const std::vector<Document> &documents)
 {
+    // Members are assigned one by one: an initializer list would copy each value twice.
     ordered_json results = ordered_json::array();
+    results.get_ref<ordered_json::array_t &>().reserve(documents.size());
     for (const Document &document : documents) {
-        const double score = std::isfinite(document.score) ? document.score : 0.0;
-        results.push_back({{"id", document.id.text()}, {"score", score}, {"body", document.body}});
+        ordered_json &result = results.emplace_back(ordered_json::object());
+        result["id"] = document.id.text();
+        result["score"] = std::isfinite(document.score) ? document.score : 0.0;
+        result["body"] = document.body;
     }
     return results;
 }
