--- a/modules/node/include/oleander/node/ControlStatus.h
+++ b/modules/node/include/oleander/node/ControlStatus.h
@@ -32,9 +32,10 @@
     std::uint64_t lateTimers = 0;
 };
 
-/// One held section, for the operators' page.
+/// One section that is held or was refused, for the operators' page.
 struct SectionStatus
 {
+    /// The version in force; none when only refused values were seen.
     SectionSummary summary;
     /// Since it came into force on this daemon.
     Duration age{};
--- a/modules/node/src/control/ControlCore.cpp
+++ b/modules/node/src/control/ControlCore.cpp
@@ -435,6 +435,23 @@
 
 // State
 
+std::vector<SectionStatus> ControlCore::sectionStatus() const
+{
+    std::vector<SectionStatus> items;
+    for (const auto &[name, section] : m_store.held)
+        items.push_back({section->summary, now() - m_acceptedAt.at(name), std::nullopt, {}});
+    for (const auto &[name, refused] : m_store.refused) {
+        auto item = std::ranges::find_if(items, [&name = name](const SectionStatus &status) {
+            return status.summary.name == name;
+        });
+        if (item == items.end())
+            item = items.insert(item, {{name, SectionVersion{}, 0}, {}, std::nullopt, {}});
+        item->refusedVersion = refused.version;
+        item->refusedReason = m_refusedReasons.at(name);
+    }
+    return items;
+}
+
 ControlStatus ControlCore::status() const
 {
     ControlStatus status;
@@ -444,15 +461,7 @@
     status.isPlatformReachable = m_watcher.isReachable();
     if (const auto heardAt = platformHeardAt())
         status.platformAge = now() - *heardAt;
-    for (const auto &[name, section] : m_store.held) {
-        SectionStatus item{section->summary, now() - m_acceptedAt.at(name), std::nullopt, {}};
-        const auto refused = m_store.refused.find(name);
-        if (refused != m_store.refused.end()) {
-            item.refusedVersion = refused->second.version;
-            item.refusedReason = m_refusedReasons.at(name);
-        }
-        status.sections.push_back(std::move(item));
-    }
+    status.sections = sectionStatus();
     for (const auto &[name, wait] : m_roles.duties)
         status.readerOf.push_back(name);
     for (const Instance &peer : m_roles.neighbours)
--- a/modules/node/src/control/ControlCore.h
+++ b/modules/node/src/control/ControlCore.h
@@ -36,6 +36,8 @@
     ViewExchange answer(const ViewExchange &request);
 
 private:
+    [[nodiscard]] std::vector<SectionStatus> sectionStatus() const;
+
     // Time
     void onTick(const TimerTick &tick);
     void compareInTurn();
--- a/modules/node/tests/control/PlatformFaultTest.cpp
+++ b/modules/node/tests/control/PlatformFaultTest.cpp
@@ -164,6 +164,19 @@
     EXPECT_TRUE(convergesTo(fleet, fleet.platform.publish("config", "fleet mended")));
 }
 
+TEST(PlatformFault, RefusedValueIsShownThoughNothingIsHeld)
+{
+    SmallFleet fleet(3, 3);
+    fleet.platform.publish("config", "fleet bad");
+    EXPECT_FALSE(fleet.startReady());
+    const auto sections = fleet.host("i0").node->status().sections;
+    const auto config = std::ranges::find_if(
+        sections, [](const SectionStatus &item) { return item.summary.name == "config"; });
+    ASSERT_NE(config, sections.end());
+    EXPECT_TRUE(config->summary.version.isNone());
+    EXPECT_EQ(config->refusedReason, "$: bad");
+}
+
 TEST(PlatformFault, ConfigurationOfAnotherFleetIsRefused)
 {
     SmallFleet fleet(6, 3);
