--- a/modules/core/include/oleander/core/FleetView.h
+++ b/modules/core/include/oleander/core/FleetView.h
@@ -78,7 +78,7 @@
     bool operator==(const InstanceList &) const = default;
 };
 
-/// The instance with this id, or null. The list must be in order of id.
+/// The instance with this id, or null.
 const Instance *findInstance(const InstanceList &list, const InstanceId &id);
 
 /// Everything published that a daemon acts on, as one immutable value.
--- a/modules/core/src/FleetView.cpp
+++ b/modules/core/src/FleetView.cpp
@@ -6,10 +6,8 @@
 
 const Instance *findInstance(const InstanceList &list, const InstanceId &id)
 {
-    const auto found = std::ranges::lower_bound(list.instances, id, {}, &Instance::id);
-    if (found == list.instances.end() || found->id != id)
-        return nullptr;
-    return &*found;
+    const auto found = std::ranges::find(list.instances, id, &Instance::id);
+    return found == list.instances.end() ? nullptr : &*found;
 }
 
 } // namespace oleander
