--- a/modules/node/tests/support/FakeConfigService.cpp
+++ b/modules/node/tests/support/FakeConfigService.cpp
@@ -90,7 +90,7 @@
 
 PlatformValue FakeConfigService::valueFor(const Watch &watch) const
 {
-    if (m_isDown)
+    if (m_isDown || m_cutOff.contains(watch.host))
         return {PlatformStatus::Unreachable, {}, {}};
     const auto found = m_values.find(watch.key);
     if (found == m_values.end())
--- a/modules/node/tests/support/FakeConfigService.h
+++ b/modules/node/tests/support/FakeConfigService.h
@@ -6,6 +6,7 @@
 
 #include <list>
 #include <map>
+#include <set>
 
 namespace oleander::fakes {
 
@@ -29,6 +30,8 @@
     void setLatency(Duration latency) { m_latency = latency; }
     /// Answers from a copy in which every key is one version older, or from the truth again.
     void setStale(bool isStale) { m_isStale = isStale; }
+    /// One daemon does not reach the service any more.
+    void cutOff(const VirtualHost &host) { m_cutOff.insert(&host); }
 
 private:
     friend class FakeConfigReader;
@@ -50,6 +53,7 @@
     std::map<std::string, std::vector<std::string>> m_values;
     std::list<Watch> m_watches;
     Duration m_latency = milliseconds(3);
+    std::set<const VirtualHost *> m_cutOff;
     bool m_isDown = false;
     bool m_isStale = false;
 };
