--- a/modules/decisions/tests/request/MemoryPropertyTest.cpp
+++ b/modules/decisions/tests/request/MemoryPropertyTest.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -51,10 +52,9 @@
             continue;
         }
         // The id fixes the time of issue, so that a resend carries the one of the first sending.
-        const int number = *rc::gen::inRange(0, 40);
+        const int newest = static_cast<int>(elapsed / seconds(3));
+        const int number = std::max(0, newest - *rc::gen::element(0, 0, 0, 1, 1, 2, 30));
         const Duration issued = seconds(3 * number);
-        if (issued > elapsed)
-            continue;
         Query query;
         query.caller = CallerId("studio");
         query.request = RequestId(std::to_string(number));
@@ -154,7 +154,8 @@
 /// A whole rack dies with many queries in flight: none of those that ran elsewhere is refused.
 RC_GTEST_PROP(CrashMemory, ALostRackRefusesNoHarmlessQuery, ())
 {
-    const Policy policy;
+    Policy policy;
+    policy.crashServerLimit = *rc::gen::inRange(1, 4);
     CrashMemory memory;
     const TimePoint now{seconds(10)};
     const auto queries = *rc::gen::inRange<std::uint64_t>(2, 30);
--- a/modules/node/tests/CornerTest.cpp
+++ b/modules/node/tests/CornerTest.cpp
@@ -127,3 +127,38 @@
     EXPECT_NE(verdict.find("non-idempotent studio/album executed twice"), std::string::npos);
     EXPECT_EQ(verdict.find("attempt"), std::string::npos) << verdict;
 }
+
+/// The first coordinator of a claim changes and changes back while that daemon does not learn of
+/// it. Its memory has a gap that it must know of, before and after it has caught up.
+TEST(AtMostOnce, AMissedChangeOfCoordinatorsIsAGapInTheMemory)
+{
+    for (const bool hasCaughtUp : {false, true}) {
+        TestFleet fleet(ammsShape(), 4);
+        fleet.runFor(warmUp);
+        const int away = coordinatorOf(fleet, 0, fleet.claim("studio", "album"));
+        const auto setLeaving = [&](bool isLeaving) {
+            fleet.publishInstances(
+                [&](InstanceList &list) {
+                    list.instances[static_cast<std::size_t>(away)].isLeaving = isLeaving;
+                },
+                Duration{});
+        };
+        const int entry = (away + 1) % fleet.daemons();
+        fleet.holdView(away, true);
+        setLeaving(true);
+        fleet.runFor(seconds(8));
+        const Query claim = fleet.claim("studio", "album");
+        const Submission &first = fleet.submit(entry, claim);
+        fleet.runFor(seconds(1));
+        setLeaving(false);
+        fleet.runFor(seconds(2));
+        if (hasCaughtUp)
+            fleet.holdView(away, false);
+        fleet.runFor(seconds(1));
+        const Submission &second = fleet.submit(entry, claim);
+        fleet.runFor(seconds(1));
+        ASSERT_TRUE(first.answer && second.answer);
+        EXPECT_EQ(first.answer->ran, RanState::Ran);
+        EXPECT_EQ(verdictOf(fleet), "") << "has caught up: " << hasCaughtUp;
+    }
+}
--- a/modules/node/tests/support/TestFleet.cpp
+++ b/modules/node/tests/support/TestFleet.cpp
@@ -164,6 +164,8 @@
     /// Views that the control plane published, and the one in force.
     int published = 0;
     int inForce = 0;
+    std::shared_ptr<const FleetView> heldBack;
+    bool isViewHeld = false;
     bool isRunning = true;
 };
 
@@ -232,7 +234,7 @@
     return query;
 }
 
-Submission &TestFleet::submit(int daemon, Query query, int resends)
+Submission &TestFleet::submit(int daemon, const Query &query, int resends)
 {
     auto added = std::make_unique<Submission>();
     Submission &submission = *added;
@@ -257,9 +259,10 @@
     Daemon &entry = *m_daemons[static_cast<std::size_t>(daemon)];
     submission.entry = entry.host.get();
     entry.host->run(Duration{}, [this, &entry, &submission, resends, query] {
-        submission.ticket = entry.node->submit(query, [this, &submission, resends](Answer answer) {
-            onAnswer(submission, resends, answer);
-        });
+        submission.ticket =
+            entry.node->submit(query, [this, &submission, resends](const Answer &answer) {
+                onAnswer(submission, resends, answer);
+            });
         m_history.reach(Step::Planned, query.caller, query.request);
     });
     return submission;
@@ -373,8 +376,20 @@
     daemon.control->start();
 }
 
+void TestFleet::holdView(int daemon, bool isHeld)
+{
+    Daemon &target = *m_daemons[static_cast<std::size_t>(daemon)];
+    target.isViewHeld = isHeld;
+    if (!isHeld && target.heldBack)
+        putInForce(target, std::exchange(target.heldBack, nullptr));
+}
+
 void TestFleet::putInForce(Daemon &daemon, const std::shared_ptr<const FleetView> &view)
 {
+    if (daemon.isViewHeld) {
+        daemon.heldBack = view;
+        return;
+    }
     daemon.views.set(view);
     m_history.versions.push_back(
         {m_clock.now(), daemon.number, view->policies->version, view->instances->version});
--- a/modules/node/tests/support/TestFleet.h
+++ b/modules/node/tests/support/TestFleet.h
@@ -55,7 +55,7 @@
     [[nodiscard]] Query claim(const std::string &caller, const std::string &request) const;
     /// Sends through a daemon. While it does not succeed, the caller sends it again through other
     /// daemons `resends` times.
-    Submission &submit(int daemon, Query query, int resends = 0);
+    Submission &submit(int daemon, const Query &query, int resends = 0);
     void abandon(Submission &submission);
 
     // Daemons
@@ -79,6 +79,8 @@
     /// daemon `lag` later than at the one before, beyond what the control plane takes.
     void publishMap(const PartitionMap &map, Duration lag);
     void publishInstances(const std::function<void(InstanceList &)> &change, Duration lag);
+    /// While held, a daemon keeps the view that it has; afterwards it gets the newest.
+    void holdView(int daemon, bool isHeld);
     /// Publishes a configuration with another tail limit.
     void publishPolicy(Duration tailLimit);
     /// The newest map, or with a higher snapshot if asked.
