--- a/modules/reports/include/oleander/reports/DaemonStatus.h
+++ b/modules/reports/include/oleander/reports/DaemonStatus.h
@@ -17,17 +17,15 @@
 {
     InstanceId instance;
     DataCentreId dataCentre;
-    /// Whether it takes queries, and why not.
+    /// Whether it takes queries.
     bool isReady = false;
-    std::string notReadyReason;
     bool isStopping = false;
+    Duration uptime{};
 
     /// Version of the configuration in force; none before the first.
     SectionVersion configuration;
-    /// Time since the configuration was last confirmed; nothing before the first.
-    std::optional<Duration> configurationAge;
-    /// The newest published configuration that this daemon refused, and why.
-    std::string refusedConfiguration;
+    /// Time since a source last confirmed that the configuration is the newest.
+    Duration configurationAge{};
 
     std::vector<ServiceId> coordinated;
     /// Open connections to backend servers.
@@ -42,8 +40,11 @@
     bool operator==(const DaemonStatus &) const = default;
 };
 
-/// Reads the JSON object of the page. Members that are not known are passed over, so that tool and
-/// daemon may be of different releases.
+/// As one JSON object; durations in whole milliseconds.
+std::string toJson(const DaemonStatus &status);
+
+/// The reverse of toJson(). Members that are not known are passed over, so that tool and daemon may
+/// be of different releases.
 std::optional<DaemonStatus> parseDaemonStatus(std::string_view text, Reason &reason);
 
 } // namespace oleander
--- a/modules/reports/src/DaemonStatus.cpp
+++ b/modules/reports/src/DaemonStatus.cpp
@@ -8,32 +8,14 @@
 
 using nlohmann::json;
 
-constexpr double microsecondsInMillisecond = 1000;
-
-/// A duration in milliseconds that may be null or missing.
-std::optional<Duration> durationAt(const json &document, const char *key)
+std::int64_t wholeMilliseconds(Duration duration)
 {
-    const auto found = document.find(key);
-    if (found == document.end() || found->is_null())
-        return std::nullopt;
-    const double microseconds = found->get<double>() * microsecondsInMillisecond;
-    return Duration(static_cast<Duration::rep>(microseconds));
+    return std::chrono::duration_cast<milliseconds>(duration).count();
 }
 
-/// "version 13: why", or nothing when no configuration stands refused.
-std::string refusedConfigurationIn(const json &document)
+Duration durationAt(const json &document, const char *key)
 {
-    const auto sections = document.find("sections");
-    if (sections == document.end())
-        return {};
-    for (const json &section : *sections) {
-        if (section.at("name") != "config" || !section.contains("refusedVersion"))
-            continue;
-        const auto version = section.at("refusedVersion").get<std::uint64_t>();
-        return "version " + std::to_string(version) + ": "
-               + section.value("refusedReason", std::string());
-    }
-    return {};
+    return milliseconds(document.at(key).get<std::int64_t>());
 }
 
 DaemonStatus statusFrom(const json &document)
@@ -42,11 +24,10 @@
     status.instance = InstanceId(document.at("instance").get<std::string>());
     status.dataCentre = DataCentreId(document.at("dataCentre").get<std::string>());
     status.isReady = document.at("ready").get<bool>();
-    status.notReadyReason = document.value("notReadyReason", std::string());
     status.isStopping = document.at("stopping").get<bool>();
-    status.configuration = SectionVersion(document.at("configurationVersion").get<std::uint64_t>());
+    status.uptime = durationAt(document, "uptimeMs");
+    status.configuration = SectionVersion(document.at("configuration").get<std::uint64_t>());
     status.configurationAge = durationAt(document, "configurationAgeMs");
-    status.refusedConfiguration = refusedConfigurationIn(document);
     for (const json &service : document.at("coordinated"))
         status.coordinated.emplace_back(service.get<std::string>());
     status.connections = document.at("connections").get<int>();
@@ -59,6 +40,27 @@
 
 } // namespace
 
+std::string toJson(const DaemonStatus &status)
+{
+    json coordinated = json::array();
+    for (const ServiceId &service : status.coordinated)
+        coordinated.push_back(service.text());
+    const json document{{"instance", status.instance.text()},
+                        {"dataCentre", status.dataCentre.text()},
+                        {"ready", status.isReady},
+                        {"stopping", status.isStopping},
+                        {"uptimeMs", wholeMilliseconds(status.uptime)},
+                        {"configuration", status.configuration.value()},
+                        {"configurationAgeMs", wholeMilliseconds(status.configurationAge)},
+                        {"coordinated", coordinated},
+                        {"connections", status.connections},
+                        {"activeQueries", status.activeQueries},
+                        {"waitingSubRequests", status.waitingSubRequests},
+                        {"refusals", status.refusals},
+                        {"suspicions", status.suspicions}};
+    return document.dump();
+}
+
 std::optional<DaemonStatus> parseDaemonStatus(std::string_view text, Reason &reason)
 {
     try {
--- a/modules/tool/src/burn/BurnText.cpp
+++ b/modules/tool/src/burn/BurnText.cpp
@@ -86,7 +86,7 @@
 
 std::string reachText(const WindowReport &window)
 {
-    const std::string longest = durationText(window.longestReach);
+    std::string longest = durationText(window.longestReach);
     if (window.shortestReach == window.longestReach)
         return longest;
     return durationText(window.shortestReach) + " to " + longest;
--- a/modules/tool/src/commands/StatusCommand.cpp
+++ b/modules/tool/src/commands/StatusCommand.cpp
@@ -54,11 +54,6 @@
     return status.isReady ? "ready" : "not ready";
 }
 
-std::string ageText(const DaemonStatus &status)
-{
-    return status.configurationAge ? durationText(*status.configurationAge) : "-";
-}
-
 json rowJson(const Row &row)
 {
     if (!row.status)
@@ -67,22 +62,18 @@
     json coordinated = json::array();
     for (const ServiceId &service : status.coordinated)
         coordinated.push_back(service.text());
-    json result{{"instance", row.name},
-                {"dataCentre", status.dataCentre.text()},
-                {"readiness", readiness(status)},
-                {"notReadyReason", status.notReadyReason},
-                {"configurationVersion", status.configuration.value()},
-                {"configurationAgeMs", nullptr},
-                {"refusedConfiguration", status.refusedConfiguration},
-                {"coordinated", coordinated},
-                {"connections", status.connections},
-                {"activeQueries", status.activeQueries},
-                {"waitingSubRequests", status.waitingSubRequests},
-                {"refusals", status.refusals},
-                {"suspicions", status.suspicions}};
-    if (status.configurationAge)
-        result["configurationAgeMs"] = inMilliseconds(*status.configurationAge);
-    return result;
+    return {{"instance", row.name},
+            {"dataCentre", status.dataCentre.text()},
+            {"readiness", readiness(status)},
+            {"configurationVersion", status.configuration.value()},
+            {"configurationAgeMs", inMilliseconds(status.configurationAge)},
+            {"uptimeMs", inMilliseconds(status.uptime)},
+            {"coordinated", coordinated},
+            {"connections", status.connections},
+            {"activeQueries", status.activeQueries},
+            {"waitingSubRequests", status.waitingSubRequests},
+            {"refusals", status.refusals},
+            {"suspicions", status.suspicions}};
 }
 
 void writeText(const std::vector<Row> &rows, std::ostream &out)
@@ -96,21 +87,17 @@
             continue;
         }
         const DaemonStatus &status = *row.status;
-        table.push_back({row.name, status.dataCentre.text(), readiness(status),
-                         std::to_string(status.configuration.value()), ageText(status),
-                         std::to_string(status.coordinated.size()),
-                         std::to_string(status.connections), std::to_string(status.activeQueries),
-                         std::to_string(status.waitingSubRequests), std::to_string(status.refusals),
-                         std::to_string(status.suspicions)});
+        table.push_back(
+            {row.name, status.dataCentre.text(), readiness(status),
+             std::to_string(status.configuration.value()), durationText(status.configurationAge),
+             std::to_string(status.coordinated.size()), std::to_string(status.connections),
+             std::to_string(status.activeQueries), std::to_string(status.waitingSubRequests),
+             std::to_string(status.refusals), std::to_string(status.suspicions)});
     }
     writeTable(out, table);
     for (const Row &row : rows) {
         if (!row.status)
             out << row.name << ": " << row.fault << '\n';
-        else if (!row.status->notReadyReason.empty())
-            out << row.name << " is not ready: " << row.status->notReadyReason << '\n';
-        if (row.status && !row.status->refusedConfiguration.empty())
-            out << row.name << " refused " << row.status->refusedConfiguration << '\n';
     }
 }
 
--- a/modules/tool/tests/DaemonCommandsTest.cpp
+++ b/modules/tool/tests/DaemonCommandsTest.cpp
@@ -15,7 +15,7 @@
 
 constexpr auto statusBody =
     R"({"instance": "a-1", "dataCentre": "d", "ready": true, "stopping": false,
-        "configurationVersion": 12, "configurationAgeMs": 250, "coordinated": ["s"],
+        "configuration": 12, "configurationAgeMs": 250, "uptimeMs": 9000, "coordinated": ["s"],
         "connections": 3, "activeQueries": 4, "waitingSubRequests": 5, "refusals": 6,
         "suspicions": 7})";
 
--- a/modules/tool/tests/ToolRun.cpp
+++ b/modules/tool/tests/ToolRun.cpp
@@ -36,7 +36,7 @@
 
 std::string TemporaryFolder::write(const std::string &name, const std::string &text) const
 {
-    const std::string path = m_path + "/" + name;
+    std::string path = m_path + "/" + name;
     std::filesystem::create_directories(std::filesystem::path(path).parent_path());
     std::ofstream(path) << text;
     return path;
