Burn: only published backends have budgets; check: one fault for a stray file

Cause: against three daemons, a query refused before the first view showed as a backend "unknown" with 10000 % burnt, and a file that is none of ours brought 44 faults. Change: queries for names that are not published are in /metrics only; a file of unknown kind that is valid JSON has one fault.

--- a/modules/adapters/src/metrics/BurnKeeper.cpp
+++ b/modules/adapters/src/metrics/BurnKeeper.cpp
@@ -19,6 +19,8 @@
     const MetricsTotals totals = m_metrics.totals();
     const TimePoint now = m_timers.now();
     for (const auto &[id, backendTotals] : totals.backends) {
+        if (backendTotals.burn.queries == 0)
+            continue;
         const auto [entry, isNew] = m_backends.try_emplace(id);
         Backend &backend = entry->second;
         if (isNew)
--- a/modules/adapters/src/metrics/ThreadCounters.cpp
+++ b/modules/adapters/src/metrics/ThreadCounters.cpp
@@ -34,6 +34,13 @@
     totals.latencies.merge(counters.latencies.read());
 }
 
+/// The name under which queries for unpublished backends are counted together.
+const BackendId &unknownBackend()
+{
+    static const BackendId name("unknown");
+    return name;
+}
+
 bool isPublished(const FleetView *view, const BackendId &backend)
 {
     if (!view)
@@ -60,7 +67,7 @@
     if (BackendCounters *known = m_backends.find(backend))
         return *known;
     const bool isNamed = isPublished(m_views.view().get(), backend);
-    return m_backends.of(isNamed ? backend : BackendId("unknown"));
+    return m_backends.of(isNamed ? backend : unknownBackend());
 }
 
 Duration ThreadCounters::objectiveOf(BackendCounters &counters)
@@ -85,7 +92,8 @@
     counters.outcomes[static_cast<std::size_t>(answer.outcome)].add(1);
     counters.errors[static_cast<std::size_t>(answer.error)].add(1);
     counters.extraSubRequests.add(static_cast<std::uint64_t>(answer.extraSubRequests));
-    if (!isCounted(answer.error))
+    // What is no published backend has no objectives.
+    if (!isCounted(answer.error) || counters.backend == unknownBackend())
         return;
     counters.queries.add(1);
     if (isLate(answer.outcome, latency, objectiveOf(counters)))
--- a/modules/tool/src/PublishedFiles.cpp
+++ b/modules/tool/src/PublishedFiles.cpp
@@ -106,7 +106,8 @@
         readDaemonFile(files, file, text, findings);
         break;
     case FileKind::Unknown:
-        readPolicySet(text, fileVersion, findings);
+        if (!nlohmann::json::accept(text))
+            readPolicySet(text, fileVersion, findings);
         findings.push_back({"$", "is no configuration, list of instances, list of services, "
                                  "partition map or daemon's settings file"});
         break;
