--- a/bench/programs/scenarios.cpp
+++ b/bench/programs/scenarios.cpp
@@ -21,6 +21,17 @@
     return 0;
 }
 
+void addDefaults(RunName &run, const cxxopts::ParseResult &arguments)
+{
+    if (arguments.count("set") == 0)
+        return;
+    for (const auto &value : arguments["set"].as<std::vector<std::string>>()) {
+        const auto equals = value.find('=');
+        if (equals != std::string::npos)
+            run.scenario.defaults.emplace_back(value.substr(0, equals), value.substr(equals + 1));
+    }
+}
+
 int prepare(const cxxopts::ParseResult &arguments)
 {
     RunSettings settings;
@@ -31,7 +42,9 @@
     settings.length = seconds(arguments["seconds"].as<int>());
     settings.serviceTime = Duration(arguments["service-us"].as<int>());
     Reason reason;
-    const auto run = runNamed(arguments["run"].as<std::string>(), reason);
+    auto run = runNamed(arguments["run"].as<std::string>(), reason);
+    if (run)
+        addDefaults(*run, arguments);
     if (run && prepareRun(*run, settings, reason))
         return 0;
     std::cerr << "scenarios: " << reason.text << '\n';
@@ -86,6 +99,8 @@
     add("instances", "prepare: daemons", number("6"));
     add("seconds", "prepare: measured time", number("5"));
     add("service-us", "prepare: mean service time", number("5000"));
+    add("set", "prepare: policy default as name=JSON; may be repeated",
+        cxxopts::value<std::vector<std::string>>());
     add("seed", "prepare, report: seed", number("1"));
     add("machine", "report: machine", text(""));
     add("commit", "report: commit", text(""));
--- a/bench/src/ScenarioFiles.cpp
+++ b/bench/src/ScenarioFiles.cpp
@@ -181,6 +181,7 @@
     plan.name = run.text();
     plan.warmUp = settings.warmUp;
     plan.length = settings.length;
+    plan.drain = milliseconds(1300);
     plan.seed = settings.seed;
     for (int instance = 0; instance < shape->instances; ++instance)
         plan.targets.push_back(loopback(ports.caller(instance)));
