Event loop: tasks of other threads in a list that is taken whole

Cause: ThreadSanitizer (tests of time, callers, operators, peers, concurrency, Debug) reported two data races inside Boost.Lockfree's free list, which reads a node that another thread may have taken. The value is discarded, but formally it is a race on our path.

Change: threads add nodes by compare-and-swap, the loop takes them all at once and turns their order; no node is taken singly, so there is no free list.

--- a/modules/adapters/src/concurrency/EventLoop.cpp
+++ b/modules/adapters/src/concurrency/EventLoop.cpp
@@ -3,21 +3,18 @@
 #include <oleander/adapters/concurrency/EventLoop.h>
 
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/lockfree/queue.hpp>
 
 #include <atomic>
-#include <cassert>
 #include <cerrno>
 #include <sys/eventfd.h>
 #include <system_error>
 #include <unistd.h>
+#include <utility>
 
 namespace oleander {
 
 namespace {
 
-/// Nodes that the queue keeps ready; it allocates more when they are used up.
-constexpr std::size_t initialQueueNodes = 1024;
 /// Tasks run before sockets and timers get their turn again.
 constexpr int tasksPerTurn = 256;
 
@@ -31,23 +28,24 @@
     Impl()
         : m_guard(boost::asio::make_work_guard(m_context))
         , m_wakeUp(m_context, openEventFd())
-        , m_tasks(initialQueueNodes)
     {
         awaitWakeUp();
     }
 
     ~Impl()
     {
-        m_tasks.consume_all([](Task *task) { delete task; });
+        takeArrived();
+        destroy(std::exchange(m_firstReady, nullptr));
     }
 
     void post(Task task)
     {
-        auto owned = std::make_unique<Task>(std::move(task));
-        const bool isQueued = m_tasks.push(owned.get());
-        assert(isQueued); // Only out of memory makes a growing queue refuse.
-        if (isQueued)
-            (void)owned.release();
+        auto *const node = new Node{std::move(task), m_arrived.load(std::memory_order_relaxed)};
+        // Nodes are only added one by one and taken all at once, so a node can not come back under
+        // the same address between the two steps of an addition and be mistaken (ABA).
+        while (!m_arrived.compare_exchange_weak(node->next, node, std::memory_order_release,
+                                                std::memory_order_relaxed)) {
+        }
         wakeUp();
     }
 
@@ -68,6 +66,12 @@
     boost::asio::io_context m_context{1};
 
 private:
+    struct Node
+    {
+        Task task;
+        Node *next = nullptr;
+    };
+
     static int openEventFd()
     {
         const int descriptor = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
@@ -107,18 +111,48 @@
     void runTasks()
     {
         for (int count = 0; count < tasksPerTurn; ++count) {
-            Task *next = nullptr;
-            if (!m_tasks.pop(next))
+            if (!m_firstReady)
+                takeArrived();
+            if (!m_firstReady)
                 return;
-            const std::unique_ptr<Task> task(next);
-            (*task)();
+            const std::unique_ptr<Node> node(m_firstReady);
+            m_firstReady = node->next;
+            node->task();
         }
         wakeUp();
     }
 
+    /// Takes what other threads have posted, and turns it into the order of posting. Only when
+    /// nothing is ready, or at the end.
+    void takeArrived()
+    {
+        Node *newest = m_arrived.exchange(nullptr, std::memory_order_acquire);
+        Node *ready = nullptr;
+        while (newest) {
+            Node *const older = std::exchange(newest->next, ready);
+            ready = newest;
+            newest = older;
+        }
+        Node **end = &m_firstReady;
+        while (*end)
+            end = &(*end)->next;
+        *end = ready;
+    }
+
+    static void destroy(Node *first)
+    {
+        while (first) {
+            const std::unique_ptr<Node> node(first);
+            first = node->next;
+        }
+    }
+
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
     boost::asio::posix::stream_descriptor m_wakeUp;
-    boost::lockfree::queue<Task *> m_tasks;
+    /// The newest posted task; any thread adds here.
+    std::atomic<Node *> m_arrived = nullptr;
+    /// The oldest task that this thread has taken.
+    Node *m_firstReady = nullptr;
     std::atomic<bool> m_isWakeUpPending = false;
     std::atomic<bool> m_isStopping = false;
     std::uint64_t m_wakeUpCount = 0;
