Platform down after the first reader: only one data centre's reader gets the change

Change: the fake reaches a chosen set of readers; the test and the bench let one data centre have it.

--- a/bench/control/control-slopes.cpp
+++ b/bench/control/control-slopes.cpp
@@ -18,7 +18,7 @@
 constexpr Duration steadySpan = seconds(120);
 constexpr Duration burstSpan = seconds(30);
 constexpr Duration splitSpan = seconds(120);
-constexpr int changeRounds = 10;
+constexpr int changeRounds = 14;
 constexpr int daemonsInRack = 34;
 
 void printSpan(int daemons, const char *what, const SpanFigures &figures)
@@ -92,8 +92,8 @@
                 world.platform.waiting());
 }
 
-/// Changes of the configuration, each until all hold it, with the platform down for the second half
-/// of the rounds as soon as one daemon has it.
+/// Changes of the configuration, each until all hold it. In the second half of the rounds only one
+/// data centre's reader gets the change, and the platform is down from then on.
 void measureChanges(ControlWorld &world, int daemons)
 {
     Duration worst{};
@@ -102,9 +102,14 @@
     const auto messages = world.wire.messages;
     const auto bytes = world.wire.bytes;
     for (int round = 0; round < changeRounds; ++round) {
+        const bool goesDown = round >= changeRounds / 2;
+        const DataCentreId last("dc-" + std::to_string(round % 7));
+        if (goesDown) {
+            world.platform.setReachableBy(
+                [last](const Instance &reader) { return reader.dataCentre == last; });
+        }
         const auto version = world.publishConfig();
         const auto holds = holdsConfig(version);
-        const bool goesDown = round >= changeRounds / 2;
         if (goesDown) {
             world.scheduler.runUntil(
                 [&] {
@@ -118,6 +123,7 @@
         (goesDown ? worstDown : worst) = std::max(goesDown ? worstDown : worst, figures.all);
         worstHalf = std::max(worstHalf, figures.half);
         world.platform.setDown(false);
+        world.platform.setReachableBy({});
         world.scheduler.runFor(seconds(3));
     }
     std::printf("%5d | %d changes             | half %6.1f ms, all %7.1f ms; platform down after "
--- a/modules/node/tests/control/PlatformFaultTest.cpp
+++ b/modules/node/tests/control/PlatformFaultTest.cpp
@@ -29,6 +29,10 @@
         SmallFleet fleet(20, 4, seed);
         ASSERT_TRUE(fleet.startReady());
         fleet.scheduler.runFor(seconds(5));
+        // Only readers of one data centre still get the change, and then nobody gets anything.
+        const DataCentreId last("dc" + std::to_string(seed % 4));
+        fleet.platform.setReachableBy(
+            [last](const Instance &reader) { return reader.dataCentre == last; });
         const auto version = fleet.platform.publish("config", "fleet second");
         ASSERT_TRUE(
             fleet.scheduler.runUntil([&] { return anyHoldsConfig(fleet, version); }, seconds(1)));
--- a/modules/node/tests/control/support/FakePlatform.h
+++ b/modules/node/tests/control/support/FakePlatform.h
@@ -46,6 +46,11 @@
         m_values[key] = {version, std::move(body)};
         wake(key);
     }
+    /// Only readers for which this holds get answers; the others' calls end as unreachable.
+    void setReachableBy(std::function<bool(const Instance &)> isReachable)
+    {
+        m_isReachableBy = std::move(isReachable);
+    }
     /// Answers at once although nothing newer is there.
     void setIgnoringAfter(bool isIgnoring) { m_isIgnoringAfter = isIgnoring; }
     /// Changes the text that a reader gets, without a version of its own.
@@ -96,9 +101,14 @@
         PlatformCallback reply;
     };
 
+    [[nodiscard]] bool isReachableBy(const Instance &reader) const
+    {
+        return !m_isReachableBy || m_isReachableBy(reader);
+    }
+
     [[nodiscard]] PlatformValue answerTo(const Waiting &entry) const
     {
-        if (m_isDown)
+        if (m_isDown || !isReachableBy(entry.reader))
             return {PlatformStatus::Unreachable, {}, {}};
         const Values &values = m_stale ? *m_stale : m_values;
         const auto found = values.find(entry.key);
@@ -117,7 +127,7 @@
     {
         for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
             const auto current = entry++;
-            if (current->key != key)
+            if (current->key != key || !isReachableBy(current->reader))
                 continue;
             PlatformValue value = answerTo(*current);
             if (value.status != PlatformStatus::NotChanged)
@@ -146,6 +156,7 @@
     std::list<Waiting> m_waiting;
     std::uint64_t m_sequence = 0;
     std::function<std::string(const Instance &, std::string)> m_textFor;
+    std::function<bool(const Instance &)> m_isReachableBy;
     bool m_isDown = false;
     bool m_isIgnoringAfter = false;
     Duration m_latency = milliseconds(3);
