An instance that missed a list of instances does not vouch for what it missed

Cause: the memory of non-idempotent requests is as old as the last change of coordinators that this instance saw. Views carry the newest list only, so a change and its reversal between two views left no trace: another coordinator had executed a claim in between, and the first one executed its repeat. Ruled out: the agreed list version (both sides held the newest); the time of issue (before the repeat, but within the memory that the instance believed complete). Change: when the version of the list rises by more than one since this instance last served the service, its earlier epochs no longer count, and older claims are answered memoryTooYoung, maybeRan. Cost: claims of the seconds before are refused after a missed list, as after a change. Before: AtMostOnce.AMissedChangeOfCoordinatorsIsAGapInTheMemory, 'executed twice'; after: passes.

--- a/modules/node/src/coordinator/CoordinatorSet.cpp
+++ b/modules/node/src/coordinator/CoordinatorSet.cpp
@@ -142,6 +142,7 @@
     Entry &entry = entryFor(map->service);
     entry.isServing = true;
     entry.coordinator->adopt(map, servicePolicy(*m_view, *map), m_view->policies->version);
+    forgetEpochsBeforeGap(entry);
     const auto &coordinators = m_coordinators.coordinatorsOf(m_view, *map);
     if (!entry.epochs.empty() && entry.epochs.back().coordinators == coordinators)
         return;
@@ -150,6 +151,14 @@
         entry.epochs.pop_front();
 }
 
+void CoordinatorSet::forgetEpochsBeforeGap(Entry &entry)
+{
+    const SectionVersion list = m_view->instances->version;
+    if (list.value() > entry.listVersion.value() + 1)
+        entry.epochs.clear();
+    entry.listVersion = list;
+}
+
 void CoordinatorSet::endUnserved()
 {
     std::erase_if(m_entries, [](const auto &item) {
--- a/modules/node/src/coordinator/CoordinatorSet.h
+++ b/modules/node/src/coordinator/CoordinatorSet.h
@@ -57,12 +57,17 @@
     {
         std::unique_ptr<ServiceCoordinator> coordinator;
         std::deque<Epoch> epochs;
+        /// The list of instances by which this instance last served.
+        SectionVersion listVersion;
         /// Whether this instance serves the service by the view in force.
         bool isServing = false;
     };
 
     void followView();
     void followService(const std::shared_ptr<const PartitionMap> &map);
+    /// By a list that this instance did not serve by, another one may have been first: what was
+    /// before it does not count as remembered.
+    void forgetEpochsBeforeGap(Entry &entry);
     /// Ends coordinators of services that are served elsewhere, once they have nothing to finish.
     void endUnserved();
     Entry &entryFor(const ServiceId &service);
