Sessions: the control plane draws its own random numbers

Cause: a change of the control plane's timing (watches by lot) changed which server a query drew, so golden sessions differed without a change of any decision about queries, and the corner of a split depended on a drawn server. Change: a source of its own for ControlNode; the split of that corner cuts daemons from each other and leaves the servers reachable. Run: Corner, AtMostOnce, GoldenSession, passed.

--- a/modules/node/tests/CornerTest.cpp
+++ b/modules/node/tests/CornerTest.cpp
@@ -104,7 +104,11 @@
     const int coordinator = coordinatorOf(fleet, 0, probe);
     const int farEntry = (coordinator + 1) % fleet.daemons();
     const int nearEntry = (coordinator + 2) % fleet.daemons();
-    fleet.setSplit(true);
+    // Daemons of the two sides lose each other; both reach all servers.
+    for (const int near : {coordinator, nearEntry}) {
+        for (const int far : {farEntry, (coordinator + 3) % fleet.daemons()})
+            fleet.peers().setConnected(fleet.instance(near), fleet.instance(far), false);
+    }
     fleet.platform().cutOff(fleet.host(coordinator));
     fleet.platform().cutOff(fleet.host(nearEntry));
     fleet.publishInstances(
--- a/modules/node/tests/support/TestFleet.cpp
+++ b/modules/node/tests/support/TestFleet.cpp
@@ -152,6 +152,8 @@
     std::unique_ptr<VirtualHost> host;
     FixedView views;
     SeededRandom random{0};
+    /// Of its own, so that the control plane's draws do not change what queries draw.
+    SeededRandom controlRandom{0};
     NullLog log;
     NullObserver observer;
     std::unique_ptr<ServerNetwork> servers;
@@ -331,6 +333,7 @@
     const Duration skew = milliseconds(process % 3 * 400 - 400);
     started->host = std::make_unique<VirtualHost>(m_clock, process, skew);
     started->random = SeededRandom(m_random.next());
+    started->controlRandom = SeededRandom(static_cast<std::uint64_t>(process));
     started->number = daemon;
     started->servers = m_servers.connect(*started->host);
     started->peers = m_peers.join(instance(daemon), *started->host);
@@ -368,8 +371,8 @@
     hooks.crashReported = [&daemon](const CrashNotice &notice) {
         daemon.node->onCrashNotices({notice});
     };
-    const ControlNode::Ports ports{*daemon.host, *daemon.peers, *daemon.platform, daemon.random,
-                                   daemon.log};
+    const ControlNode::Ports ports{*daemon.host, *daemon.peers, *daemon.platform,
+                                   daemon.controlRandom, daemon.log};
     daemon.control = std::make_unique<ControlNode>(ports, settings, parsers(), hooks);
     daemon.handler = std::make_unique<Handler>(*daemon.node, *daemon.control);
     daemon.peers->setHandler(daemon.handler.get());
