--- a/modules/node/tests/support/FakeServerFleet.cpp
+++ b/modules/node/tests/support/FakeServerFleet.cpp
@@ -152,6 +152,7 @@
         end(connection, ConnectionEnd::NotOpened, oneWay);
         return;
     }
+    ++m_history.acceptedConnections;
     connection->process = server.process.get();
     server.connections.push_back(connection);
     connection->client->run(oneWay, [connection] {
--- a/modules/node/tests/support/FaultSession.cpp
+++ b/modules/node/tests/support/FaultSession.cpp
@@ -54,10 +54,10 @@
 {
     JudgeRules rules;
     // With two leaving servers a shard may have no replica left.
-    const bool mayLoseShard =
-        std::ranges::count(session.strikes, "server draining",
-                           [](const Strike &each) { return each.fault->name; })
-        > 1;
+    const auto leavesServer = [](const Strike &each) {
+        return each.fault->name.starts_with("server") && each.fault->isPlanned;
+    };
+    const bool mayLoseShard = std::ranges::count_if(session.strikes, leavesServer) > 1;
     rules.isEveryAnswerWhole = !mayLoseShard;
     for (const Strike &strike : session.strikes)
         rules.isEveryAnswerWhole = rules.isEveryAnswerWhole && strike.fault->isPlanned;
--- a/modules/node/tests/support/Faults.cpp
+++ b/modules/node/tests/support/Faults.cpp
@@ -57,6 +57,17 @@
     });
 }
 
+/// The list says that the server leaves; the server itself says nothing.
+void listAsLeaving(const FaultTarget &target)
+{
+    PartitionMap map = target.fleet.nextMap(false);
+    const auto leaving = map.servers.find(target.server);
+    if (leaving == map.servers.end())
+        return;
+    leaving->second.isLeaving = true;
+    target.fleet.publishMap(map, publishLag);
+}
+
 void coolServer(const FaultTarget &target)
 {
     target.fleet.servers().kill(target.server);
@@ -233,6 +244,8 @@
     FaultKind{"server shedding", "a backend server refuses for load", shedLoad},
     FaultKind{"server draining", "it says that it drains, the list says so later", drainServer,
               true},
+    FaultKind{"server listed as leaving", "the list says that it leaves, it says nothing",
+              listAsLeaving, true},
     FaultKind{"server cold", "it is restarted and slow at first", coolServer},
     FaultKind{"server straggling", "each of its executions takes 200 ms", slowDown},
     FaultKind{"lying load", "it is slow and reports no load", claimNoLoad},
--- a/modules/node/tests/support/History.h
+++ b/modules/node/tests/support/History.h
@@ -103,8 +103,9 @@
     SectionVersion newestConfiguration;
     /// Servers lost while they executed the query that crashes servers.
     std::set<ServerId> crashedServers;
-    /// Most connections that a server held at once beyond its cap.
+    /// Connections that servers refused because of their cap, and those that they took.
     int refusedConnections = 0;
+    int acceptedConnections = 0;
     /// Called inside the event that reaches the step, so it must only schedule.
     std::function<void(Step, const RequestId &)> onStep;
     std::set<std::pair<RequestId, Step>> reached;
