--- a/modules/daemon/src/Daemon.cpp
+++ b/modules/daemon/src/Daemon.cpp
@@ -129,13 +129,15 @@
     void addPages()
     {
         operators.addPage("/readyz", [this](const std::string &) { return readyPage(); });
+        operators.addPage("/control", [this](const std::string &) {
+            return jsonPage(controlPage(node.status()));
+        });
         operators.addPage("/burn",
                           [this](const std::string &) { return jsonPage(toJson(burn.burn())); });
         operators.addDeferredPage("/status", [this](const std::string &, auto reply) {
             collectStatus([this, reply](const std::vector<QueryNodeStatus> &workerStatus) {
-                const ControlStatus controlStatus = node.status();
-                reply(jsonPage(statusPage(daemonStatus(settings, controlStatus, workerStatus),
-                                          controlStatus)));
+                reply(jsonPage(
+                    toJson(daemonStatus(settings, node.status(), workerStatus, uptime()))));
             });
         });
         operators.addDeferredPage("/metrics", [this](const std::string &, auto reply) {
@@ -168,13 +170,15 @@
 
     OperatorPage metricsPage(const std::vector<QueryNodeStatus> &workerStatus) const
     {
-        const DaemonStatus status = daemonStatus(settings, node.status(), workerStatus);
+        const DaemonStatus status = daemonStatus(settings, node.status(), workerStatus, uptime());
         OperatorPage page;
         page.contentType = "text/plain; version=0.0.4";
         page.body = prometheusText(metrics.totals(), gaugesOf(status, node.status(), log));
         return page;
     }
 
+    [[nodiscard]] Duration uptime() const { return timers.now() - startedAt; }
+
     void collectStatus(const std::function<void(std::vector<QueryNodeStatus>)> &whenCollected)
     {
         auto collected = std::make_shared<std::vector<QueryNodeStatus>>();
@@ -260,6 +264,7 @@
     std::vector<std::unique_ptr<Worker>> workers;
     ControlNode node;
     std::thread controlThread;
+    TimePoint startedAt = timers.now();
     Subscription lameDuck;
     bool isStopping = false;
     std::atomic<int> idleWorkers = 0;
--- a/modules/daemon/src/StatusPage.cpp
+++ b/modules/daemon/src/StatusPage.cpp
@@ -25,12 +25,11 @@
     return sections;
 }
 
-template <typename Id>
-Json namesJson(const std::vector<Id> &ids)
+Json namesJson(const std::vector<InstanceId> &instances)
 {
     Json names = Json::array();
-    for (const Id &id : ids)
-        names.push_back(id.text());
+    for (const InstanceId &instance : instances)
+        names.push_back(instance.text());
     return names;
 }
 
@@ -54,19 +53,19 @@
 } // namespace
 
 DaemonStatus daemonStatus(const DaemonSettings &settings, const ControlStatus &control,
-                          const std::vector<QueryNodeStatus> &workers)
+                          const std::vector<QueryNodeStatus> &workers, Duration uptime)
 {
     DaemonStatus status;
     status.instance = settings.instance;
     status.dataCentre = settings.dataCentre;
     status.isReady = control.isReady;
-    status.notReadyReason = control.notReadyReason;
     status.isStopping = control.isStopping;
+    status.uptime = uptime;
     for (const SectionStatus &section : control.sections) {
         if (section.summary.name == "config")
             status.configuration = section.summary.version;
     }
-    status.configurationAge = control.platformAge;
+    status.configurationAge = control.platformAge.value_or(Duration{});
     for (const QueryNodeStatus &worker : workers) {
         for (const ServiceId &service : worker.coordinated)
             status.coordinated.push_back(service);
@@ -79,31 +78,21 @@
     return status;
 }
 
-std::string statusPage(const DaemonStatus &status, const ControlStatus &control)
+std::string controlPage(const ControlStatus &control)
 {
     Json page;
-    page["instance"] = status.instance.text();
-    page["dataCentre"] = status.dataCentre.text();
-    page["ready"] = status.isReady;
-    page["notReadyReason"] = status.notReadyReason;
-    page["stopping"] = status.isStopping;
-    page["configurationVersion"] = status.configuration.value();
-    page["configurationAgeMs"] = nullptr;
-    if (status.configurationAge)
-        page["configurationAgeMs"] = inMilliseconds(*status.configurationAge);
-    page["coordinated"] = namesJson(status.coordinated);
-    page["connections"] = status.connections;
-    page["activeQueries"] = status.activeQueries;
-    page["waitingSubRequests"] = status.waitingSubRequests;
-    page["refusals"] = status.refusals;
-    page["suspicions"] = status.suspicions;
+    page["ready"] = control.isReady;
+    page["notReadyReason"] = control.notReadyReason;
     page["platformReachable"] = control.isPlatformReachable;
+    page["platformAgeMs"] = nullptr;
+    if (control.platformAge)
+        page["platformAgeMs"] = inMilliseconds(*control.platformAge);
     page["readerOf"] = control.readerOf;
     page["neighbours"] = namesJson(control.neighbours);
-    page["unreachablePeers"] = namesJson(control.unreachable);
-    page["leavingPeers"] = namesJson(control.leaving);
+    page["unreachable"] = namesJson(control.unreachable);
+    page["leaving"] = namesJson(control.leaving);
     page["sections"] = sectionsJson(control);
-    page["control"] = countersJson(control.counters);
+    page["counters"] = countersJson(control.counters);
     return page.dump(2) + "\n";
 }
 
@@ -116,7 +105,7 @@
         {"configuration_version", "Version of the configuration in force.",
          number(status.configuration.value())},
         {"configuration_age_seconds", "Time since the configuration was last confirmed.",
-         inMilliseconds(status.configurationAge.value_or(Duration{})) / 1000},
+         inMilliseconds(status.configurationAge) / 1000},
         {"server_connections", "Open connections to backend servers.", number(status.connections)},
         {"active_queries", "Queries under way.", number(status.activeQueries)},
         {"waiting_subrequests", "Sub-requests that wait for a slot.",
--- a/modules/daemon/src/StatusPage.h
+++ b/modules/daemon/src/StatusPage.h
@@ -14,11 +14,10 @@
 
 /// What `/status` says, from the control node and all workers of a daemon.
 DaemonStatus daemonStatus(const DaemonSettings &settings, const ControlStatus &control,
-                          const std::vector<QueryNodeStatus> &workers);
+                          const std::vector<QueryNodeStatus> &workers, Duration uptime);
 
-/// The page `/status` as JSON: what the daemon says of itself, with the sections it holds, its
-/// peers and the counters of its control plane.
-std::string statusPage(const DaemonStatus &status, const ControlStatus &control);
+/// What `/control` says, as JSON: sections held, peers and counters of the control plane.
+std::string controlPage(const ControlStatus &control);
 
 /// The gauges of `/metrics`.
 std::vector<Gauge> gaugesOf(const DaemonStatus &status, const ControlStatus &control,
