--- a/standins/src/FleetFiles.cpp
+++ b/standins/src/FleetFiles.cpp
@@ -126,7 +126,7 @@
     for (const auto &[name, text] : shape.defaults) {
         defaults[name] = ordered_json::parse(text, nullptr, false);
         if (defaults[name].is_discarded()) {
-            reason.set(ErrorKind::BadRequest, "defaults." + name + ": '" + text + "' is no JSON");
+            reason.set(ErrorKind::BadRequest, "defaults: the value of " + name + " is no JSON");
             return std::nullopt;
         }
     }
--- a/standins/src/ServerFleet.cpp
+++ b/standins/src/ServerFleet.cpp
@@ -277,7 +277,7 @@
         if (server != "*" && server != name)
             continue;
         found = true;
-        callOn(*entry.context, [&]() { (*wanted)(*entry.server); });
+        callOn(*entry.context, [&wanted, &standin = *entry.server]() { (*wanted)(standin); });
     }
     return found;
 }
--- a/standins/src/ServerState.cpp
+++ b/standins/src/ServerState.cpp
@@ -90,21 +90,20 @@
     auto waiting = std::find_if(queue.begin(), queue.end(), matches);
     auto active = std::find_if(running.begin(), running.end(), matches);
     if (waiting != queue.end())
-        stopExecution(*waiting);
+        stopExecution(ExecutionPointer(*waiting));
     else if (active != running.end() && (*active)->received.request.isIdempotent)
-        stopExecution(*active);
+        stopExecution(ExecutionPointer(*active));
     SubReply reply;
     reply.id = wanted->request;
     reply.kind = ReplyKind::Cancelled;
     send(reply, respond);
 }
 
-void ServerStandin::State::stopExecution(const ExecutionPointer &execution)
+void ServerStandin::State::stopExecution(ExecutionPointer execution)
 {
-    const auto kept = execution;
     ++counts.cancelled;
-    std::erase(queue, kept);
-    end(kept, ReplyKind::Cancelled);
+    std::erase(queue, execution);
+    end(execution, ReplyKind::Cancelled);
 }
 
 std::optional<ReplyKind> ServerStandin::State::refusalOf(const SubRequest &request)
--- a/standins/src/ServerState.h
+++ b/standins/src/ServerState.h
@@ -52,7 +52,8 @@
     void begin(const ExecutionPointer &execution);
     void end(const ExecutionPointer &execution, ReplyKind kind);
     void beginNext();
-    void stopExecution(const ExecutionPointer &execution);
+    /// By value: the lists that hold the execution give it up meanwhile.
+    void stopExecution(ExecutionPointer execution);
     [[nodiscard]] Duration drawServiceTime();
 
     // Replies
