Peer sessions: read in small parts, and unread bytes are no silence

Cause: under ThreadSanitizer and load, PeerNetworkTest.ManyCallsShareOneSession failed in 4 of 4 runs: the called side handled up to 256 KB of requests in one turn, its answer to the PING waited behind them, and the caller closed a healthy session as silent after 500 ms. A daemon with too little processor time could do the same.

Change: 16 KB are read at a time, and answers leave before the next part. A session with bytes that have arrived and were not read is not taken as silent.

--- a/modules/adapters/src/peers/Http2Transport.cpp
+++ b/modules/adapters/src/peers/Http2Transport.cpp
@@ -13,9 +13,9 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-constexpr std::size_t readBytes = 65536;
-/// Reads from one connection before others get their turn.
-constexpr int readsPerTurn = 4;
+/// Read from one connection at a time, before its answers leave and others get their turn. A larger
+/// part would delay the answer to a PING behind too many requests.
+constexpr std::size_t readBytes = 16384;
 /// Frames are collected up to this before they are handed to the system.
 constexpr std::size_t collectBytes = 262144;
 /// An output buffer that has grown beyond this is given back when it is empty.
@@ -225,7 +225,9 @@
         end("closed after a planned stop");
         return;
     }
-    if (!isOwing || m_isClosed)
+    error_code ignored;
+    // What has arrived and was not read yet is no silence.
+    if (!isOwing || m_isClosed || m_socket.available(ignored) > 0)
         return;
     if (m_isPinged && m_pingedAt > m_lastHeard) {
         if (now - m_pingedAt > pingAnswerTime)
@@ -312,20 +314,15 @@
 {
     // One buffer for all connections of the thread: a connection keeps no memory for reading.
     thread_local std::array<std::uint8_t, readBytes> buffer;
-    for (int count = 0; count < readsPerTurn && !m_isClosed; ++count) {
-        error_code error;
-        const std::size_t size = m_socket.read_some(asio::buffer(buffer), error);
-        if (error == asio::error::would_block)
-            break;
-        if (error) {
-            end("connection ended: " + error.message());
-            return;
-        }
+    error_code error;
+    const std::size_t size = m_socket.read_some(asio::buffer(buffer), error);
+    if (error && error != asio::error::would_block) {
+        end("connection ended: " + error.message());
+        return;
+    }
+    if (!error) {
         m_lastHeard = steadyNow();
-        if (!receive(buffer.data(), size))
-            return;
-        if (size < buffer.size())
-            break;
+        receive(buffer.data(), size);
     }
     if (m_isClosed)
         return;
@@ -333,15 +330,13 @@
     awaitReadable();
 }
 
-bool Http2Transport::receive(const std::uint8_t *bytes, std::size_t size)
+void Http2Transport::receive(const std::uint8_t *bytes, std::size_t size)
 {
     if (m_isSendClosed)
-        return true;
+        return;
     const ssize_t taken = nghttp2_session_mem_recv(m_session, bytes, size);
-    if (taken >= 0)
-        return !m_isClosed;
-    end(std::string("not HTTP/2: ") + nghttp2_strerror(static_cast<int>(taken)));
-    return false;
+    if (taken < 0)
+        end(std::string("not HTTP/2: ") + nghttp2_strerror(static_cast<int>(taken)));
 }
 
 // Writing
--- a/modules/adapters/src/peers/Http2Transport.h
+++ b/modules/adapters/src/peers/Http2Transport.h
@@ -88,7 +88,7 @@
     nghttp2_data_provider provideBody(Http2StreamId stream, std::string body);
     void awaitReadable();
     void onReadable();
-    bool receive(const std::uint8_t *bytes, std::size_t size);
+    void receive(const std::uint8_t *bytes, std::size_t size);
     void scheduleFlush();
     void flush();
     bool collect();
