--- a/modules/decisions/src/control/CoordinatorChoice.cpp
+++ b/modules/decisions/src/control/CoordinatorChoice.cpp
@@ -109,12 +109,14 @@
         const InstanceId *id;
     };
     std::vector<Scored> scored;
+    scored.reserve(coordinators.size());
     for (const InstanceId &id : coordinators)
         scored.push_back({XXH3_64bits_withSeed(id.text().data(), id.text().size(), key), &id});
     std::ranges::sort(scored, [](const Scored &left, const Scored &right) {
         return left.score != right.score ? left.score > right.score : *left.id < *right.id;
     });
     std::vector<InstanceId> order;
+    order.reserve(scored.size());
     for (const Scored &entry : scored)
         order.push_back(*entry.id);
     return order;
--- a/modules/node/src/control/CrashSpread.h
+++ b/modules/node/src/control/CrashSpread.h
@@ -3,8 +3,8 @@
 #include <oleander/core/Units.h>
 #include <oleander/ports/PeerMessage.h>
 
-#include <compare>
 #include <map>
+#include <tuple>
 #include <vector>
 
 namespace oleander {
@@ -29,7 +29,11 @@
         Fingerprint fingerprint;
         ServerId server;
 
-        auto operator<=>(const Key &) const = default;
+        bool operator<(const Key &other) const
+        {
+            return std::tie(service, fingerprint, server)
+                   < std::tie(other.service, other.fingerprint, other.server);
+        }
     };
 
     std::map<Key, TimePoint> m_seenAt;
--- a/modules/node/src/control/PeerExchange.cpp
+++ b/modules/node/src/control/PeerExchange.cpp
@@ -19,6 +19,7 @@
 std::vector<std::string> namesOf(const std::vector<SectionSummary> &summaries)
 {
     std::vector<std::string> names;
+    names.reserve(summaries.size());
     for (const SectionSummary &summary : summaries)
         names.push_back(summary.name);
     return names;
--- a/modules/node/tests/control/PlatformFaultTest.cpp
+++ b/modules/node/tests/control/PlatformFaultTest.cpp
@@ -208,7 +208,7 @@
     ASSERT_TRUE(fleet.startReady());
     fleet.split(5);
     fleet.scheduler.runFor(seconds(3));
-    fleet.platform.setTextFor([](const Instance &reader, std::string body) {
+    fleet.platform.setTextFor([](const Instance &reader, const std::string &body) {
         return body + (std::stoi(reader.id.text().substr(1)) < 5 ? " left" : " right");
     });
     const auto version = fleet.platform.publish("config", "fleet two");
--- a/modules/node/tests/support/VirtualTimer.h
+++ b/modules/node/tests/support/VirtualTimer.h
@@ -120,7 +120,7 @@
 
     Subscription subscribe(Duration delay, Duration period, TimerCallback callback)
     {
-        auto entry = std::make_shared<Entry>(std::move(callback), period);
+        auto entry = std::make_shared<Entry>(Entry{std::move(callback), period});
         fireAt(now() + delay, entry);
         return Subscription([entry]() mutable { entry.reset(); });
     }
