Peers, callers, operators, event loop: lint

Cause: clang-tidy over the sources of these folders named public m_ members of hidden classes, two values that could not be moved, and a copy.

Change: accessors; the tick takes sessions out of its own copy.

--- a/modules/adapters/src/callers/CallerServer.cpp
+++ b/modules/adapters/src/callers/CallerServer.cpp
@@ -77,10 +77,7 @@
         m_log.record(EventId::CallerProtocolError, text);
     }
 
-    QueryHandler &m_queries;
-    EventLog &m_log;
-    TimePoint m_nextProtocolError;
-    HttpServer m_server;
+    HttpServer &server() { return m_server; }
 
 private:
     HttpResponse refused(int status, const std::string &text)
@@ -89,6 +86,11 @@
         response.status = status;
         return response;
     }
+
+    QueryHandler &m_queries;
+    EventLog &m_log;
+    TimePoint m_nextProtocolError;
+    HttpServer m_server;
 };
 
 CallerServer::CallerServer(boost::asio::io_context &context, QueryHandler &handler, EventLog &log,
@@ -101,17 +103,17 @@
 
 std::optional<std::uint16_t> CallerServer::listen(const std::string &address, Reason &reason)
 {
-    return m_impl->m_server.listen(address, reason);
+    return m_impl->server().listen(address, reason);
 }
 
 void CallerServer::beginStop(std::function<void()> whenEnded)
 {
-    m_impl->m_server.beginStop(std::move(whenEnded));
+    m_impl->server().beginStop(std::move(whenEnded));
 }
 
 HttpStatistics CallerServer::statistics() const
 {
-    return std::as_const(m_impl->m_server).statistics();
+    return std::as_const(m_impl->server()).statistics();
 }
 
 } // namespace oleander
--- a/modules/adapters/src/concurrency/EventLoop.cpp
+++ b/modules/adapters/src/concurrency/EventLoop.cpp
@@ -63,7 +63,7 @@
         m_isStopping.store(false);
     }
 
-    boost::asio::io_context m_context{1};
+    boost::asio::io_context &context() { return m_context; }
 
 private:
     struct Node
@@ -147,6 +147,7 @@
         }
     }
 
+    boost::asio::io_context m_context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
     boost::asio::posix::stream_descriptor m_wakeUp;
     /// The newest posted task; any thread adds here.
@@ -182,7 +183,7 @@
 
 boost::asio::io_context &EventLoop::context()
 {
-    return m_impl->m_context;
+    return m_impl->context();
 }
 
 } // namespace oleander
--- a/modules/adapters/src/operators/OperatorServer.cpp
+++ b/modules/adapters/src/operators/OperatorServer.cpp
@@ -64,8 +64,8 @@
 
     void onProtocolError(const std::string & /*text*/) override {}
 
-    std::map<std::string, DeferredPageSource> m_pages;
-    HttpServer m_server;
+    HttpServer &server() { return m_server; }
+    std::map<std::string, DeferredPageSource> &pages() { return m_pages; }
 
 private:
     [[nodiscard]] std::string listOfPages() const
@@ -75,6 +75,9 @@
             result += " " + path;
         return result;
     }
+
+    std::map<std::string, DeferredPageSource> m_pages;
+    HttpServer m_server;
 };
 
 OperatorServer::OperatorServer(boost::asio::io_context &context, HttpLimits limits)
@@ -95,17 +98,17 @@
 
 void OperatorServer::addDeferredPage(const std::string &path, DeferredPageSource source)
 {
-    m_impl->m_pages.insert_or_assign(path, std::move(source));
+    m_impl->pages().insert_or_assign(path, std::move(source));
 }
 
 std::optional<std::uint16_t> OperatorServer::listen(const std::string &address, Reason &reason)
 {
-    return m_impl->m_server.listen(address, reason);
+    return m_impl->server().listen(address, reason);
 }
 
 void OperatorServer::beginStop(std::function<void()> whenEnded)
 {
-    m_impl->m_server.beginStop(std::move(whenEnded));
+    m_impl->server().beginStop(std::move(whenEnded));
 }
 
 } // namespace oleander
--- a/modules/adapters/src/peers/Http2PeerNetwork.cpp
+++ b/modules/adapters/src/peers/Http2PeerNetwork.cpp
@@ -120,7 +120,7 @@
         return result;
     }
 
-    PeerHandler *m_handler = nullptr;
+    void setHandler(PeerHandler *newHandler) { m_handler = newHandler; }
 
 private:
     struct Call
@@ -137,7 +137,7 @@
     {
         const auto found = m_clients.find(peer.id);
         if (found != m_clients.end()) {
-            const auto session = found->second;
+            auto session = found->second;
             if (session->takesCalls() && session->peer().peerAddress == peer.peerAddress)
                 return session;
             m_clients.erase(found);
@@ -148,7 +148,7 @@
         if (pause != m_notBefore.end() && now < pause->second)
             return nullptr;
         PeerClientOwner &owner = *this;
-        const auto session = std::make_shared<PeerClientSession>(m_context, peer, owner);
+        auto session = std::make_shared<PeerClientSession>(m_context, peer, owner);
         m_clients.emplace(peer.id, session);
         session->open();
         return session;
@@ -285,8 +285,10 @@
     {
         const bool wasPaused = tick.lateness() > pauseSuspicion;
         const auto check = [&](const auto &sessions) {
-            const auto copy = sessions;
-            for (const auto &[key, session] : copy) {
+            // A tick may end a session and take it out of the map.
+            auto present = sessions;
+            while (!present.empty()) {
+                const auto session = present.extract(present.begin()).mapped();
                 if (wasPaused)
                     session->forgiveSilence(tick.fired);
                 else
@@ -299,6 +301,7 @@
         check(m_servers);
     }
 
+    PeerHandler *m_handler = nullptr;
     asio::io_context &m_context;
     TimerService &m_timers;
     EventLog &m_log;
@@ -353,7 +356,7 @@
 
 void Http2PeerNetwork::setHandler(PeerHandler *handler)
 {
-    m_impl->m_handler = handler;
+    m_impl->setHandler(handler);
 }
 
 void Http2PeerNetwork::beginStop()
--- a/modules/adapters/src/peers/Http2Transport.cpp
+++ b/modules/adapters/src/peers/Http2Transport.cpp
@@ -135,7 +135,7 @@
     {
         Body &body = *static_cast<Body *>(source->ptr);
         const std::size_t count = std::min(size, body.bytes.size() - body.sent);
-        std::memcpy(buffer, body.bytes.data() + body.sent, count);
+        std::copy_n(body.bytes.data() + body.sent, count, buffer);
         body.sent += count;
         if (body.sent == body.bytes.size())
             *flags |= NGHTTP2_DATA_FLAG_EOF;
