--- a/bench/control/ControlWorld.cpp
+++ b/bench/control/ControlWorld.cpp
@@ -60,6 +60,7 @@
     platform.publish("services", json{{"services", names}}.dump());
     publishConfig();
     std::vector<Instance> all;
+    all.reserve(static_cast<std::size_t>(sizes.daemons));
     for (int number = 0; number < sizes.daemons; ++number)
         all.push_back(instance(number));
     publishInstances(all);
