Silent connections: asked about also when all of them are busy

The question on a fresh connection needed an idle one to make room; with every connection of a server silent and busy none was idle, so nothing was ever asked and capacity stayed taken. Change: the fresh connection then comes out of the part of the cap that connectionShare keeps free; when no connection of that age has brought a reply since the question, all that were busy then are closed at once; the surplus connection goes when one is idle. Ruled out: closing the oldest busy connection without asking (it may belong to a slow server). Refusals in the first 300 ms remain.

--- a/modules/node/src/coordinator/ServerPool.cpp
+++ b/modules/node/src/coordinator/ServerPool.cpp
@@ -214,6 +214,7 @@
     }
     const Duration latency = m_ports.timers.now() - connection.busySince;
     finishExecuting(connection);
+    server.lastReply = m_ports.timers.now();
     if (reply.kind == ReplyKind::Ok)
         noteReply(server.health, latency, reply.reportedLoad);
     connection.use = Use::Idle;
@@ -243,6 +244,9 @@
     const int wanted = isSuspect ? std::min(allowed, server.open + 1) : allowed;
     while (server.open + server.opening < wanted)
         openOne(index);
+    // A connection that was opened as a test stays until an older one is idle.
+    while (server.open + server.opening > allowed && !server.idle.empty())
+        closeQuietly(server.idle.front());
 }
 
 void ServerPool::openOne(std::size_t index)
--- a/modules/node/src/coordinator/ServerPool.h
+++ b/modules/node/src/coordinator/ServerPool.h
@@ -61,6 +61,8 @@
     TimePoint probeStarted{};
     std::optional<TimePoint> probeAnswered;
     TimePoint lastLoss{};
+    /// Last reply to a sub-request.
+    TimePoint lastReply{};
 };
 
 /// Connections of one coordinator to the servers of its service.
--- a/modules/node/src/coordinator/ServerPoolUpkeep.cpp
+++ b/modules/node/src/coordinator/ServerPoolUpkeep.cpp
@@ -62,12 +62,11 @@
 void ServerPool::startProbe(std::size_t index, SubRequestId attempt, TimePoint now)
 {
     PooledServer &server = m_servers[index];
-    if (server.open + server.opening >= allowedConnections(server)) {
-        // A fresh connection must not exceed the cap, so an idle one makes room for it.
-        if (server.idle.empty())
-            return;
+    // A fresh connection takes the place of an idle one. When all are busy, perhaps all silent, it
+    // comes out of the part of the cap that connectionShare keeps free.
+    const bool isFull = server.open + server.opening >= allowedConnections(server);
+    if (isFull && !server.idle.empty())
         closeQuietly(server.idle.front());
-    }
     ++server.opening;
     const ConnectionId id = m_ports.network.open(server.info, *this);
     Connection connection;
@@ -108,12 +107,15 @@
 
 void ServerPool::closeSilent(std::size_t index, TimePoint openedBefore, TimePoint now)
 {
+    // No connection of that age has brought a reply since the question was asked.
+    const bool allAreSilent = m_servers[index].lastReply < m_servers[index].probeStarted;
     std::vector<ConnectionId> silent;
     std::vector<ConnectionId> sameAge;
     for (const auto &[id, connection] : m_connections) {
         if (connection.server != index || connection.openedAt >= openedBefore)
             continue;
-        const bool isOverdue = now - connection.busySince > m_policy.silenceLimit;
+        const bool isOverdue = now - connection.busySince > m_policy.silenceLimit
+                               || (allAreSilent && connection.busySince < openedBefore);
         if (connection.use == Use::Executing && connection.mayBeCancelled && isOverdue)
             silent.push_back(id);
         if (connection.use == Use::Idle)
