--- a/modules/node/tests/support/FaultSession.cpp
+++ b/modules/node/tests/support/FaultSession.cpp
@@ -13,8 +13,9 @@
     std::string_view("answered"), std::string_view("merged"),  std::string_view("returned"),
 };
 
-/// From the observed query to the end of the session.
-constexpr Duration healingTime = seconds(6);
+/// From the observed query to the last queries, and from these to the end of the session.
+constexpr Duration healingTime = seconds(4);
+constexpr Duration lastAnswers = seconds(3);
 constexpr int otherQueries = 12;
 constexpr Duration betweenQueries = milliseconds(9);
 constexpr int resends = 2;
@@ -117,6 +118,9 @@
     fleet.runFor(milliseconds(20));
     submitOthers(fleet, "after");
     fleet.runFor(healingTime);
+    // By now a server that leaves must get nothing any more.
+    submitOthers(fleet, "late");
+    fleet.runFor(lastAnswers);
     for (const bool struck : isStruck)
         result.isReached = result.isReached && struck;
     result.broken = fleet.verdict(rulesFor(session));
--- a/modules/node/tests/support/TestFleet.cpp
+++ b/modules/node/tests/support/TestFleet.cpp
@@ -197,8 +197,14 @@
 
 TestFleet::~TestFleet()
 {
-    for (auto &daemon : m_daemons)
+    for (auto &daemon : m_daemons) {
         daemon->host->kill();
+        daemon->handler.reset();
+        daemon->control.reset();
+        daemon->node.reset();
+    }
+    // What still waits may hold calls of peers, which end through the networks.
+    m_clock.clear();
 }
 
 // Time
--- a/modules/node/tests/support/VirtualClock.cpp
+++ b/modules/node/tests/support/VirtualClock.cpp
@@ -1,6 +1,7 @@
 #include "VirtualClock.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oleander::fakes {
 
@@ -32,6 +33,12 @@
     return at(m_now + delay, owner, std::move(task));
 }
 
+void VirtualClock::clear()
+{
+    while (!m_events.empty())
+        std::exchange(m_events, {}).clear();
+}
+
 void VirtualClock::runUntil(TimePoint end)
 {
     while (!m_events.empty() && m_events.begin()->first.due <= end) {
--- a/modules/node/tests/support/VirtualClock.h
+++ b/modules/node/tests/support/VirtualClock.h
@@ -34,6 +34,8 @@
     EventKey at(TimePoint due, int owner, std::function<void()> task);
     EventKey after(Duration delay, int owner, std::function<void()> task);
     void cancel(const EventKey &key) { m_events.erase(key); }
+    /// Drops all events, also those that dropping one adds.
+    void clear();
     /// Runs every event up to and including `end`; time stands at `end` afterwards.
     void runUntil(TimePoint end);
 
