--- a/bench/callers/caller-queries.cpp
+++ b/bench/callers/caller-queries.cpp
@@ -152,6 +152,7 @@
     std::atomic<bool> isStopping = false;
     std::atomic<std::size_t> answered = 0;
     std::vector<std::thread> clients;
+    clients.reserve(static_cast<std::size_t>(connections));
     for (int client = 0; client < connections; ++client)
         clients.emplace_back([&] { answered += sendQueries(port, responseBytes, isStopping); });
     std::this_thread::sleep_for(seconds(time));
--- a/bench/programs/propagation.cpp
+++ b/bench/programs/propagation.cpp
@@ -98,9 +98,9 @@
     const double slowest = waitForAll(fleet, before + 1, changed);
     if (isDown)
         post(fleet, "POST", "/switch?down=0", "");
-    std::printf("%s%.0f ms until all %d daemons have version %llu\n",
+    std::printf("%s%.0f ms until all %d daemons have version %lu\n",
                 isDown ? "service down after the first: " : "", slowest, fleet.instances,
-                static_cast<unsigned long long>(before + 1));
+                before + 1);
     return slowest < 0 ? 1 : 0;
 }
 
--- a/modules/adapters/tests/concurrency/PublishedTest.cpp
+++ b/modules/adapters/tests/concurrency/PublishedTest.cpp
@@ -45,6 +45,7 @@
         cell.publish(std::make_shared<Pair>(0));
         std::atomic<int> bad = 0;
         std::vector<std::thread> readers;
+        readers.reserve(3);
         for (int reader = 0; reader < 3; ++reader) {
             readers.emplace_back([&] {
                 int last = 0;
@@ -73,6 +74,7 @@
     int done = 0;
     bool isInOrder = true;
     std::vector<std::thread> producers;
+    producers.reserve(threads);
     for (int thread = 0; thread < threads; ++thread) {
         producers.emplace_back([&, thread] {
             for (int task = 0; task < tasks; ++task) {
--- a/modules/adapters/tests/peers/Http2PeerNetworkTest.cpp
+++ b/modules/adapters/tests/peers/Http2PeerNetworkTest.cpp
@@ -47,6 +47,7 @@
 {
     constexpr int calls = 2000;
     std::vector<std::future<PeerOutcome>> outcomes;
+    outcomes.reserve(calls);
     for (int call = 0; call < calls; ++call)
         outcomes.push_back(one.start(two.instance(), queryNamed("a", call)));
     for (int call = 0; call < calls; ++call) {
--- a/modules/daemon/src/Daemon.cpp
+++ b/modules/daemon/src/Daemon.cpp
@@ -11,9 +11,7 @@
 #include <oleander/adapters/platform/AsioPlatformReader.h>
 #include <oleander/daemon/Daemon.h>
 #include <oleander/node/ControlNode.h>
-#include <oleander/settings/InstanceListParser.h>
-#include <oleander/settings/PartitionMapParser.h>
-#include <oleander/settings/PolicySetParser.h>
+#include <oleander/node/SettingsParsers.h>
 
 #include <algorithm>
 #include <atomic>
@@ -26,18 +24,6 @@
 /// Between "not ready" and the end of listening, so that the balancer can move away.
 constexpr Duration lameDuckTime = milliseconds(1000);
 
-SectionParsers sectionParsers()
-{
-    SectionParsers parsers;
-    parsers.policySet = parsePolicySet;
-    parsers.instanceList = parseInstanceList;
-    parsers.serviceNames = [](std::string_view text, SectionVersion, Reason &reason) {
-        return parseServiceNames(text, reason);
-    };
-    parsers.partitionMap = parsePartitionMap;
-    return parsers;
-}
-
 ControlSettings controlSettings(const DaemonSettings &settings)
 {
     ControlSettings control;
@@ -63,7 +49,7 @@
                 {settings.instance, settings.fleet, settings.peerKey})
         , platform(control.context(), settings.platformAddresses, PlatformReaderLimits{})
         , operators(control.context())
-        , node({timers, peers, platform, random, log}, controlSettings(settings), sectionParsers(),
+        , node({timers, peers, platform, random, log}, controlSettings(settings), settingsParsers(),
                hooks())
     {
         for (int number = 0; number < settings.workerThreads; ++number)
--- a/modules/daemon/src/Worker.cpp
+++ b/modules/daemon/src/Worker.cpp
@@ -55,7 +55,7 @@
 void Worker::onPeerRequest(PeerRequest request, std::shared_ptr<PeerResponder> responder)
 {
     if (auto *query = std::get_if<PeerQuery>(&request))
-        m_node.onPeerQuery(std::move(*query), std::move(responder));
+        m_node.onPeerQuery(std::move(*query), responder);
     else
         responder->refuse();
 }
--- a/modules/decisions/src/request/CrashMemory.cpp
+++ b/modules/decisions/src/request/CrashMemory.cpp
@@ -58,8 +58,7 @@
 {
     std::vector<Fingerprint> distinct = suspects;
     std::ranges::sort(distinct);
-    const auto repeated = std::ranges::unique(distinct);
-    distinct.erase(repeated.begin(), repeated.end());
+    distinct.erase(std::unique(distinct.begin(), distinct.end()), distinct.end());
     if (distinct.empty())
         return 0;
     const auto count = static_cast<std::int64_t>(distinct.size());
--- a/modules/decisions/src/request/Plan.cpp
+++ b/modules/decisions/src/request/Plan.cpp
@@ -29,8 +29,7 @@
         indices.push_back(static_cast<std::size_t>(found - map.shards.begin()));
     }
     std::ranges::sort(indices);
-    const auto repeated = std::ranges::unique(indices);
-    indices.erase(repeated.begin(), repeated.end());
+    indices.erase(std::unique(indices.begin(), indices.end()), indices.end());
     return indices;
 }
 
--- a/modules/node/include/oleander/node/QueryNode.h
+++ b/modules/node/include/oleander/node/QueryNode.h
@@ -70,7 +70,7 @@
 
     // Messages of peers
     /// A query of another entry, or of another worker of this daemon.
-    void onPeerQuery(PeerQuery message, std::shared_ptr<PeerResponder> responder);
+    void onPeerQuery(PeerQuery message, const std::shared_ptr<PeerResponder> &responder);
     void onCrashNotices(const std::vector<CrashNotice> &notices);
 
     // Life
--- a/modules/node/src/QueryNode.cpp
+++ b/modules/node/src/QueryNode.cpp
@@ -138,7 +138,7 @@
     m_impl->entry.abandon(ticket);
 }
 
-void QueryNode::onPeerQuery(PeerQuery message, std::shared_ptr<PeerResponder> responder)
+void QueryNode::onPeerQuery(PeerQuery message, const std::shared_ptr<PeerResponder> &responder)
 {
     Answer refused;
     if (m_impl->refuses(message.query, refused)) {
--- a/modules/node/src/entry/QueryEntry.cpp
+++ b/modules/node/src/entry/QueryEntry.cpp
@@ -313,7 +313,7 @@
         return order;
     }
     const TimePoint now = m_ports.timers.now();
-    std::ranges::stable_partition(order, [&](const InstanceId &id) {
+    std::stable_partition(order.begin(), order.end(), [&](const InstanceId &id) {
         const auto found = m_suspectUntil.find(id);
         return found == m_suspectUntil.end() || found->second <= now;
     });
--- a/modules/node/tests/support/TestFleet.cpp
+++ b/modules/node/tests/support/TestFleet.cpp
@@ -137,7 +137,7 @@
     void onPeerRequest(PeerRequest request, std::shared_ptr<PeerResponder> responder) override
     {
         if (auto *query = std::get_if<PeerQuery>(&request))
-            m_node.onPeerQuery(std::move(*query), std::move(responder));
+            m_node.onPeerQuery(std::move(*query), responder);
         else
             m_control.onPeerRequest(std::move(request), std::move(responder));
     }
@@ -556,6 +556,7 @@
     for (const Shard &shard : map.shards) {
         const auto documents = documentsIn(shard.firstKey, shard.endKey, map.snapshot, {}, {});
         std::vector<std::string> keys;
+        keys.reserve(documents.size());
         for (const Document &document : documents)
             keys.push_back(document.id.text());
         std::ranges::sort(keys);
--- a/modules/node/tests/support/VirtualClock.h
+++ b/modules/node/tests/support/VirtualClock.h
@@ -21,6 +21,7 @@
         TimePoint due;
         std::uint64_t rank = 0;
         std::uint64_t sequence = 0;
+        // NOLINTNEXTLINE(modernize-use-nullptr): see StrongId.h.
         auto operator<=>(const EventKey &) const = default;
     };
 
--- a/modules/node/tests/support/VirtualHost.cpp
+++ b/modules/node/tests/support/VirtualHost.cpp
@@ -61,8 +61,8 @@
         return;
     m_isFrozen = false;
     m_freezes.emplace_back(m_frozenSince, m_clock.now());
-    std::ranges::stable_partition(
-        m_waiting, [this](const Waiting &each) { return each.isTimer != m_arrivalsFirst; });
+    std::stable_partition(m_waiting.begin(), m_waiting.end(),
+                          [this](const Waiting &each) { return each.isTimer != m_arrivalsFirst; });
     const auto waiting = std::exchange(m_waiting, {});
     for (const Waiting &each : waiting)
         m_clock.after(Duration{}, m_index, [this, each] { runOrWait(each.isTimer, each.task); });
