--- a/standins/src/ServerState.cpp
+++ b/standins/src/ServerState.cpp
@@ -99,7 +99,7 @@
     send(reply, respond);
 }
 
-void ServerStandin::State::stopExecution(ExecutionPointer execution)
+void ServerStandin::State::stopExecution(const ExecutionPointer &execution)
 {
     ++counts.cancelled;
     std::erase(queue, execution);
--- a/standins/src/ServerState.h
+++ b/standins/src/ServerState.h
@@ -53,7 +53,7 @@
     void end(const ExecutionPointer &execution, ReplyKind kind);
     void beginNext();
     /// By value: the lists that hold the execution give it up meanwhile.
-    void stopExecution(ExecutionPointer execution);
+    void stopExecution(const ExecutionPointer &execution);
     [[nodiscard]] Duration drawServiceTime();
 
     // Replies
