Coordinator: one hedge delay and one assumed latency

Cause: the same constant stood in three sources and the same expression in two. Change: both are members of ServiceCoordinator; behaviour stays. Run: node_tests, 48 pass.

--- a/modules/node/src/coordinator/Dispatch.cpp
+++ b/modules/node/src/coordinator/Dispatch.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// Assumed until enough sub-requests were seen.
-constexpr Duration assumedLatency = milliseconds(10);
-
 bool wasTried(const ShardTask &task, std::size_t server)
 {
     return std::ranges::find(task.triedServers, server) != task.triedServers.end();
--- a/modules/node/src/coordinator/ServiceCoordinator.cpp
+++ b/modules/node/src/coordinator/ServiceCoordinator.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// Assumed until enough sub-requests were seen.
-constexpr Duration assumedLatency = milliseconds(10);
 /// Kept back from the deadline for the way to the entry and the caller.
 constexpr Duration answerMargin = milliseconds(1);
 
@@ -217,9 +215,7 @@
 {
     const ActiveQueryId id = active.id;
     if (active.tasks.size() > 1 && active.release != Release::All) {
-        active.widenAt = m_context.timers.now()
-                         + hedgeDelay(active.policy, m_latency.quantile(active.policy.hedgeQuantile,
-                                                                        assumedLatency));
+        active.widenAt = m_context.timers.now() + hedgeDelayFor(active);
         dispatch(active, m_context.random.below(active.tasks.size()), false);
         return;
     }
--- a/modules/node/src/coordinator/ServiceCoordinator.h
+++ b/modules/node/src/coordinator/ServiceCoordinator.h
@@ -78,6 +78,9 @@
     [[nodiscard]] int suspicions() const;
 
 private:
+    /// Latency of a sub-request until enough of them were seen.
+    static constexpr Duration assumedLatency = milliseconds(10);
+
     using ActiveQueries = std::unordered_map<ActiveQueryId, std::unique_ptr<ActiveQuery>>;
 
     struct AttemptOwner
@@ -129,6 +132,8 @@
     void widenCanary(ActiveQuery &active, TimePoint now);
     void hedgeLate(ActiveQuery &active, TimePoint now, Duration delay);
     void retryWaiting(ActiveQuery &active);
+    /// How long a sub-request of this query runs before another replica is asked.
+    [[nodiscard]] Duration hedgeDelayFor(const ActiveQuery &active) const;
     bool replan(ActiveQuery &active);
     [[nodiscard]] bool isOutOfPatience(const ActiveQuery &active, TimePoint now) const;
 
--- a/modules/node/src/coordinator/Ticks.cpp
+++ b/modules/node/src/coordinator/Ticks.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// Assumed until enough sub-requests were seen.
-constexpr Duration assumedLatency = milliseconds(10);
 /// How often one query may start anew on a newer partition map.
 constexpr int replanLimit = 2;
 
@@ -54,9 +52,7 @@
     const bool mayHedge = active.query.isIdempotent && active.policy.hedging && m_lines.total() == 0
                           && active.release == Release::All;
     if (mayHedge) {
-        hedgeLate(active, now,
-                  hedgeDelay(active.policy,
-                             m_latency.quantile(active.policy.hedgeQuantile, assumedLatency)));
+        hedgeLate(active, now, hedgeDelayFor(active));
     }
 }
 
@@ -116,6 +112,12 @@
     }
 }
 
+Duration ServiceCoordinator::hedgeDelayFor(const ActiveQuery &active) const
+{
+    return hedgeDelay(active.policy,
+                      m_latency.quantile(active.policy.hedgeQuantile, assumedLatency));
+}
+
 bool ServiceCoordinator::replan(ActiveQuery &active)
 {
     if (!active.query.isIdempotent || active.replans >= replanLimit)
