Coordinator set: the policy is looked up only for queries that are served

Cause: reading the whole change again: submit() computed a caller's policy before it knew whether the query may be served here, and a comment spoke of a parameter that is a member of the message. Change: the look-up stands behind mayServe(); the stale comment and an unused include are gone. Behaviour stays. Run: scripts/check-format, scripts/build, node_tests 48 pass.

--- a/modules/node/src/coordinator/CoordinatorSet.cpp
+++ b/modules/node/src/coordinator/CoordinatorSet.cpp
@@ -4,8 +4,6 @@
 #include <oleander/decisions/request/Plan.h>
 #include <oleander/settings/PolicyFor.h>
 
-#include <algorithm>
-
 namespace oleander {
 
 namespace {
@@ -46,14 +44,14 @@
         done(refusal(reason.kind, reason.text));
         return {};
     }
-    const Subject subject{map->backend, map->service, message.query.caller, m_identity.dataCentre,
-                          m_identity.instance};
-    const Policy policy = policyFor(*m_view->policies, subject);
     Answer refused;
     if (!mayServe(message, map->service, refused)) {
         done(std::move(refused));
         return {};
     }
+    const Subject subject{map->backend, map->service, message.query.caller, m_identity.dataCentre,
+                          m_identity.instance};
+    const Policy policy = policyFor(*m_view->policies, subject);
     Entry &entry = m_entries.at(map->service);
     const ActiveQueryId id = entry.coordinator->submit(std::move(message.query), policy,
                                                        message.timeLeft, std::move(done));
--- a/modules/node/src/coordinator/CoordinatorSet.h
+++ b/modules/node/src/coordinator/CoordinatorSet.h
@@ -31,7 +31,6 @@
     };
 
     /// Answers a query, or refuses it when this instance does not coordinate its service.
-    /// `instanceList` is the version that the sender chose this instance by.
     Handle submit(PeerQuery message, std::function<void(Answer)> done);
     void abandon(const Handle &handle);
 
