--- a/cmake/OleanderModule.cmake
+++ b/cmake/OleanderModule.cmake
@@ -19,7 +19,7 @@
     target_link_libraries(${target} ${scope} ${ARG_DEPENDS} ${ARG_LIBRARIES} Threads::Threads)
 
     file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
-    if(tests)
+    if(tests AND OLEANDER_DEVELOPMENT)
         oleander_test(${name}_tests SOURCES ${tests} DEPENDS ${target})
         target_include_directories(${name}_tests PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src
                                                          ${CMAKE_CURRENT_SOURCE_DIR}/tests)
--- /dev/null
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -0,0 +1,338 @@
+#include "concurrency/AsioHeaders.h"
+#include "gateway/HttpHeaders.h"
+
+#include <oleander/adapters/gateway/AsioServerLinks.h>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <utility>
+
+namespace oleander {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+using gateway::ServerReply;
+using tcp = asio::ip::tcp;
+
+/// Larger replies end the connection: they are held whole in memory.
+constexpr std::size_t largestBody = 8 * 1024 * 1024;
+constexpr std::size_t largestHeader = 32 * 1024;
+constexpr std::size_t readSize = 8 * 1024;
+/// Sent bytes that are not acknowledged for this long end the connection.
+constexpr int unacknowledgedLimitMs = 3000;
+constexpr int statusMisdirected = 421;
+constexpr int firstFinalStatus = 200;
+
+std::optional<gateway::ReportedLoad> parseLoad(std::string_view text)
+{
+    std::array<int, 3> numbers{};
+    const char *next = text.data();
+    const char *const end = text.data() + text.size();
+    for (std::size_t index = 0; index < numbers.size(); ++index) {
+        if (index > 0 && (next == end || *next++ != ','))
+            return std::nullopt;
+        const auto result = std::from_chars(next, end, numbers[index]);
+        if (result.ec != std::errc{})
+            return std::nullopt;
+        next = result.ptr;
+    }
+    return gateway::ReportedLoad{numbers[0], numbers[1], numbers[2]};
+}
+
+/// The time in "timeout=5, max=100".
+std::optional<Duration> parseKeepAlive(std::string_view text)
+{
+    constexpr std::string_view key = "timeout=";
+    const auto position = text.find(key);
+    if (position == std::string_view::npos)
+        return std::nullopt;
+    int number = 0;
+    const char *const begin = text.data() + position + key.size();
+    const auto result = std::from_chars(begin, text.data() + text.size(), number);
+    if (result.ec != std::errc{})
+        return std::nullopt;
+    return seconds(number);
+}
+
+std::string_view viewOf(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(asio::io_context &context, const HeaderNames &names,
+               gateway::ServerLinkListener &listener)
+        : m_socket(context)
+        , m_names(names)
+        , m_listener(&listener)
+    {
+    }
+
+    void open(const Address &address)
+    {
+        error_code error;
+        const auto number = asio::ip::make_address(address.number, error);
+        if (!error)
+            m_socket.open(number.is_v4() ? tcp::v4() : tcp::v6(), error);
+        if (error) {
+            asio::post(m_socket.get_executor(),
+                       [self = shared_from_this()] { self->close(false); });
+            return;
+        }
+        m_socket.set_option(tcp::no_delay(true), error);
+        const int limit = unacknowledgedLimitMs;
+        ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+        m_socket.async_connect(
+            {number, address.port},
+            [self = shared_from_this()](const error_code &failure) { self->onConnected(failure); });
+    }
+
+    void send(const gateway::ServerRequest &request)
+    {
+        m_request = request.request;
+        m_isHead = m_request->method == "HEAD";
+        m_parser.reset();
+        m_out = head(request);
+        m_out += m_request->body;
+        m_isWriting = true;
+        asio::async_write(m_socket, asio::buffer(m_out),
+                          [self = shared_from_this()](const error_code &error, std::size_t) {
+                              self->m_isWriting = false;
+                              // The reader learns of the same failure, after a reply that may
+                              // have come before it.
+                              if (error && error != asio::error::operation_aborted)
+                                  self->m_isBroken = true;
+                          });
+    }
+
+    /// The owner is gone.
+    void abandon()
+    {
+        m_listener = nullptr;
+        error_code ignored;
+        m_socket.close(ignored);
+    }
+
+    [[nodiscard]] std::optional<Duration> keepAlive() const { return m_keepAlive; }
+
+private:
+    using Parser = http::response_parser<http::string_body>;
+
+    void onConnected(const error_code &error)
+    {
+        if (!m_listener)
+            return;
+        if (error) {
+            close(false);
+            return;
+        }
+        m_wasOpened = true;
+        read();
+        m_listener->onOpened();
+    }
+
+    void read()
+    {
+        m_socket.async_read_some(
+            m_in.prepare(readSize),
+            [self = shared_from_this()](const error_code &error, std::size_t count) {
+                self->onRead(error, count);
+            });
+    }
+
+    void onRead(const error_code &error, std::size_t count)
+    {
+        if (!m_listener)
+            return;
+        m_in.commit(count);
+        if (error) {
+            onEnd(error);
+            return;
+        }
+        if (!m_request) {
+            // Nothing was asked for: an extra reply, which belongs to no request.
+            close(true);
+            return;
+        }
+        if (parse() && m_listener)
+            read();
+    }
+
+    void onEnd(const error_code &error)
+    {
+        if (error == asio::error::eof && m_request && m_parser && m_parser->is_header_done()
+            && m_parser->need_eof()) {
+            error_code parseError;
+            m_parser->put_eof(parseError);
+            if (!parseError && m_parser->is_done()) {
+                m_isBroken = true;
+                onMessage();
+                return;
+            }
+        }
+        close(m_wasOpened);
+    }
+
+    /// Takes replies out of what was read. False when the connection is not to be read any more.
+    bool parse()
+    {
+        while (m_request && m_in.size() > 0) {
+            if (!m_parser) {
+                m_parser.emplace();
+                m_parser->eager(true);
+                m_parser->header_limit(largestHeader);
+                m_parser->body_limit(largestBody);
+                m_parser->skip(m_isHead);
+            }
+            error_code error;
+            m_in.consume(m_parser->put(m_in.data(), error));
+            if (error == http::error::need_more)
+                return true;
+            if (error) {
+                close(true);
+                return false;
+            }
+            if (!m_parser->is_done())
+                return true;
+            if (!onMessage())
+                return false;
+        }
+        return true;
+    }
+
+    /// A whole reply is there. False when the connection is not to be read any more.
+    bool onMessage()
+    {
+        http::response<http::string_body> message = m_parser->release();
+        m_parser.reset();
+        if (message.result_int() < firstFinalStatus)
+            return true;
+        const auto echoed = message.find(m_names.requestId);
+        if (echoed != message.end() && viewOf(echoed->value()) != m_request->id.text()) {
+            // An extra reply to an earlier request; the right one may follow.
+            m_isBroken = true;
+            return true;
+        }
+        const bool isReusable = message.keep_alive() && !message.need_eof() && m_in.size() == 0
+                                && !m_isWriting && !m_isBroken;
+        const auto keepAlive = parseKeepAlive(viewOf(message[http::field::keep_alive]));
+        if (keepAlive)
+            m_keepAlive = keepAlive;
+        m_request.reset();
+        gateway::ServerLinkListener *const listener = m_listener;
+        if (!isReusable)
+            abandon();
+        listener->onReply(decode(std::move(message)), isReusable);
+        return isReusable;
+    }
+
+    [[nodiscard]] ServerReply decode(http::response<http::string_body> message) const
+    {
+        ServerReply reply;
+        reply.status = static_cast<int>(message.result_int());
+        reply.fields = endToEndFields(message, {});
+        reply.body = std::move(message.body());
+        reply.receipt = std::string(message[m_names.receipt]);
+        reply.isMisdirected = reply.status == statusMisdirected;
+        reply.isNotExecuted = message.find(m_names.notExecuted) != message.end();
+        reply.load = parseLoad(viewOf(message[m_names.reportedLoad]));
+        return reply;
+    }
+
+    [[nodiscard]] std::string head(const gateway::ServerRequest &request) const
+    {
+        const gateway::CallerRequest &origin = *request.request;
+        std::string text;
+        text.reserve(512);
+        text.append(origin.method).append(" ").append(origin.target).append(" HTTP/1.1\r\n");
+        const auto add = [&text](std::string_view name, std::string_view value) {
+            text.append(name).append(": ").append(value).append("\r\n");
+        };
+        add("Host", origin.host);
+        if (!origin.id.isEmpty())
+            add(m_names.requestId, origin.id.text());
+        add(m_names.patience,
+            std::to_string(std::max<std::int64_t>(1, request.timeLeft.count() / 1000)));
+        add(m_names.expectedServer, request.server.text());
+        for (const gateway::HttpField &field : origin.fields)
+            add(field.name, field.value);
+        const bool mayHaveNoBody = origin.method == "GET" || origin.method == "HEAD";
+        if (!origin.body.empty() || !mayHaveNoBody)
+            add("Content-Length", std::to_string(origin.body.size()));
+        text.append("\r\n");
+        return text;
+    }
+
+    void close(bool wasOpened)
+    {
+        gateway::ServerLinkListener *const listener = m_listener;
+        abandon();
+        if (listener)
+            listener->onClosed(wasOpened);
+    }
+
+    tcp::socket m_socket;
+    const HeaderNames &m_names;
+    gateway::ServerLinkListener *m_listener;
+    bool m_wasOpened = false;
+    bool m_isWriting = false;
+    /// Something was seen after which the connection must not be used again.
+    bool m_isBroken = false;
+    bool m_isHead = false;
+    std::string m_out;
+    beast::flat_buffer m_in;
+    std::shared_ptr<const gateway::CallerRequest> m_request;
+    std::optional<Parser> m_parser;
+    std::optional<Duration> m_keepAlive;
+};
+
+/// Ends the connection with its owner.
+class Link final : public gateway::ServerLink
+{
+public:
+    explicit Link(std::shared_ptr<Connection> connection)
+        : m_connection(std::move(connection))
+    {
+    }
+    Link(const Link &) = delete;
+    Link &operator=(const Link &) = delete;
+    ~Link() override { m_connection->abandon(); }
+
+    void send(const gateway::ServerRequest &request) override { m_connection->send(request); }
+    [[nodiscard]] std::optional<Duration> keepAlive() const override
+    {
+        return m_connection->keepAlive();
+    }
+
+private:
+    std::shared_ptr<Connection> m_connection;
+};
+
+} // namespace
+
+AsioServerLinks::AsioServerLinks(asio::io_context &context, HeaderNames names)
+    : m_context(context)
+    , m_names(std::move(names))
+{
+}
+
+std::unique_ptr<gateway::ServerLink> AsioServerLinks::open(const Address &address,
+                                                           gateway::ServerLinkListener &listener)
+{
+    auto connection = std::make_shared<Connection>(m_context, m_names, listener);
+    connection->open(address);
+    return std::make_unique<Link>(std::move(connection));
+}
+
+} // namespace oleander
--- /dev/null
+++ b/modules/adapters/src/gateway/CallerIngress.cpp
@@ -0,0 +1,206 @@
+#include "gateway/IngressSession.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+namespace oleander {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+/// How often connections are looked through for those that have waited too long.
+constexpr Duration overduePeriod = milliseconds(500);
+/// Pause after a failed accept, for example for want of descriptors.
+constexpr Duration acceptPause = milliseconds(50);
+
+} // namespace
+
+class CallerIngress::Impl : public std::enable_shared_from_this<CallerIngress::Impl>
+{
+public:
+    Impl(asio::io_context &context, TimerService &timer, HeaderNames names, IngressHandler handler)
+        : m_shared(std::make_shared<IngressShared>(
+            IngressShared{timer, std::move(names), std::move(handler), {}, {}, false, {}}))
+        , m_acceptor(context)
+    {
+        m_shared->whenClosed = [this](IngressSession &session) { m_sessions.erase(&session); };
+    }
+
+    void setMaximumConnections(std::size_t maximum) { m_maximum = maximum; }
+
+    bool listen(const Address &address, Reason &reason)
+    {
+        error_code error;
+        const tcp::endpoint endpoint(asio::ip::make_address(address.number, error), address.port);
+        if (!error)
+            m_acceptor.open(endpoint.protocol(), error);
+        if (!error)
+            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        if (!error)
+            m_acceptor.bind(endpoint, error);
+        if (!error)
+            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+        if (error) {
+            reason.set(ErrorKind::Internal, "can not listen on " + address.number + ":"
+                                                + std::to_string(address.port) + ": "
+                                                + error.message());
+            return false;
+        }
+        m_overdue = m_shared->timer.callEvery(overduePeriod, [this](const TimerTick &tick) {
+            forEachSession(
+                [&tick](IngressSession &session) { session.closeIfOverdue(tick.fired); });
+        });
+        accept();
+        return true;
+    }
+
+    void closeIdle()
+    {
+        error_code ignored;
+        m_acceptor.close(ignored);
+        forEachSession([](IngressSession &session) {
+            if (!session.isBusy() && !session.isReceiving())
+                session.close();
+        });
+    }
+
+    [[nodiscard]] std::size_t busyConnections() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(m_sessions, [](const auto &entry) {
+            return entry.second->isBusy() || entry.second->isReceiving();
+        }));
+    }
+
+    void abandon()
+    {
+        m_overdue.reset();
+        error_code ignored;
+        m_acceptor.close(ignored);
+        forEachSession([](IngressSession &session) { session.close(); });
+    }
+
+    [[nodiscard]] IngressShared &shared() { return *m_shared; }
+    [[nodiscard]] const IngressCounts &counts()
+    {
+        m_shared->counts.connections = m_sessions.size();
+        return m_shared->counts;
+    }
+
+private:
+    template <typename Action>
+    void forEachSession(Action action)
+    {
+        std::vector<std::shared_ptr<IngressSession>> sessions;
+        sessions.reserve(m_sessions.size());
+        for (const auto &[key, session] : m_sessions)
+            sessions.push_back(session);
+        for (const auto &session : sessions)
+            action(*session);
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept(
+            [self = shared_from_this()](const error_code &error, tcp::socket socket) {
+                self->onAccepted(error, std::move(socket));
+            });
+    }
+
+    void onAccepted(const error_code &error, tcp::socket socket)
+    {
+        if (!m_acceptor.is_open())
+            return;
+        if (error) {
+            makeRoom();
+            m_acceptLater =
+                m_shared->timer.callAfter(acceptPause, [this](const TimerTick &) { accept(); });
+            return;
+        }
+        ++m_shared->counts.accepted;
+        if (m_sessions.size() >= m_maximum)
+            makeRoom();
+        auto session = std::make_shared<IngressSession>(m_shared, std::move(socket));
+        m_sessions.emplace(session.get(), session);
+        session->start();
+        accept();
+    }
+
+    /// Closes the connection that has waited longest for the rest of a request, or, when there is
+    /// none, the one that has been idle for longest.
+    void makeRoom()
+    {
+        std::shared_ptr<IngressSession> victim;
+        const auto isBetter = [](const IngressSession &left, const IngressSession &right) {
+            if (left.isReceiving() != right.isReceiving())
+                return left.isReceiving();
+            return left.waitingSince() < right.waitingSince();
+        };
+        for (const auto &[key, session] : m_sessions) {
+            if (!session->isBusy() && (!victim || isBetter(*session, *victim)))
+                victim = session;
+        }
+        if (!victim)
+            return;
+        ++m_shared->counts.evicted;
+        victim->close();
+    }
+
+    std::shared_ptr<IngressShared> m_shared;
+    tcp::acceptor m_acceptor;
+    std::unordered_map<IngressSession *, std::shared_ptr<IngressSession>> m_sessions;
+    std::size_t m_maximum = 1000;
+    Subscription m_overdue;
+    Subscription m_acceptLater;
+};
+
+CallerIngress::CallerIngress(asio::io_context &context, TimerService &timer, HeaderNames names,
+                             IngressHandler handler)
+    : m_impl(std::make_shared<Impl>(context, timer, std::move(names), std::move(handler)))
+{
+}
+
+CallerIngress::~CallerIngress()
+{
+    m_impl->abandon();
+}
+
+void CallerIngress::setLimits(const gateway::CallerLimits &limits)
+{
+    m_impl->shared().limits = limits;
+}
+
+void CallerIngress::setMaximumConnections(std::size_t maximum)
+{
+    m_impl->setMaximumConnections(maximum);
+}
+
+bool CallerIngress::listen(const Address &address, Reason &reason)
+{
+    return m_impl->listen(address, reason);
+}
+
+void CallerIngress::beginStop()
+{
+    m_impl->shared().isStopping = true;
+}
+
+void CallerIngress::closeIdle()
+{
+    m_impl->closeIdle();
+}
+
+std::size_t CallerIngress::busyConnections() const
+{
+    return m_impl->busyConnections();
+}
+
+const IngressCounts &CallerIngress::counts() const
+{
+    return m_impl->counts();
+}
+
+} // namespace oleander
--- /dev/null
+++ b/modules/adapters/src/gateway/IngressSession.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "concurrency/AsioHeaders.h"
+
+#include <oleander/adapters/gateway/CallerIngress.h>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace oleander {
+
+class IngressSession;
+
+/// What the sessions of one ingress share.
+struct IngressShared
+{
+    TimerService &timer;
+    HeaderNames names;
+    IngressHandler handler;
+    gateway::CallerLimits limits;
+    IngressCounts counts;
+    bool isStopping = false;
+    /// Called when a session has closed its connection.
+    std::function<void(IngressSession &)> whenClosed;
+};
+
+/// One caller's connection.
+class IngressSession : public std::enable_shared_from_this<IngressSession>
+{
+public:
+    IngressSession(std::shared_ptr<IngressShared> shared, boost::asio::ip::tcp::socket socket);
+
+    void start();
+    /// Closes at once; a request that is under way is left.
+    void close();
+    /// Closes when the caller has taken too long to send a request, or has sent none.
+    void closeIfOverdue(TimePoint now);
+
+    /// A request is being answered.
+    [[nodiscard]] bool isBusy() const { return m_phase == Phase::Answering || m_isWriting; }
+    /// Bytes of a request are there, but not the whole.
+    [[nodiscard]] bool isReceiving() const { return m_phase == Phase::Receiving; }
+    /// When the present wait for bytes of a request began.
+    [[nodiscard]] TimePoint waitingSince() const { return m_waitingSince; }
+
+private:
+    enum class Phase { Idle, Receiving, Answering, Closed };
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    void read();
+    void onRead(const boost::system::error_code &error, std::size_t count);
+    void parse();
+    void onHeader();
+    void onRequest();
+    void refuseMalformed(const boost::system::error_code &error);
+    void answer(gateway::CallerAnswer answer);
+    void write(gateway::CallerAnswer answer);
+    void onWritten(const boost::system::error_code &error);
+    void discardUntilClosed();
+
+    std::shared_ptr<IngressShared> m_shared;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::beast::flat_buffer m_in;
+    std::string m_out;
+    std::optional<Parser> m_parser;
+    Phase m_phase = Phase::Idle;
+    TimePoint m_waitingSince{};
+    bool m_isReading = false;
+    bool m_isWriting = false;
+    bool m_isClosing = false;
+    bool m_isHead = false;
+    bool m_wasContinueSent = false;
+    /// Number of the present request, so that answers to earlier ones are dropped.
+    std::uint64_t m_requestNumber = 0;
+    std::shared_ptr<gateway::Call> m_call;
+    RequestId m_requestId;
+};
+
+} // namespace oleander
--- /dev/null
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -0,0 +1,286 @@
+#include "RegistryView.h"
+
+#include <oleander/adapters/gateway/AsioServerLinks.h>
+#include <oleander/adapters/gateway/CallerIngress.h>
+#include <oleander/adapters/log/JsonEventLog.h>
+#include <oleander/adapters/operators/OperatorServer.h>
+#include <oleander/adapters/time/AsioTimerService.h>
+#include <oleander/adapters/time/SeededRandom.h>
+#include <oleander/daemon/GatewayDaemon.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+#include <utility>
+
+namespace oleander {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+/// After a stop signal callers still come until the platform has asked twice whether the instance
+/// is ready, which it does each second.
+constexpr Duration leavingTime = milliseconds(2800);
+/// Time kept back from the end that is forced.
+constexpr Duration stopMargin = milliseconds(400);
+constexpr Duration stopPollPeriod = milliseconds(50);
+constexpr Duration expirePeriod = milliseconds(500);
+/// Heartbeats that a server may miss before its registration lapses.
+constexpr int lapsedHeartbeats = 3;
+/// Descriptors that are not sockets of callers: files, servers, the registry.
+constexpr int reservedDescriptors = 200;
+constexpr int shareForCallers = 2;
+/// Part of the earned extra load that is used, since instances count requests at other moments.
+constexpr double extraShareUsed = 0.95;
+/// Instances that share the allowance of extra load.
+constexpr double assumedInstances = 100;
+
+gateway::GatewayPolicy policyFrom(const GatewaySettings &settings)
+{
+    gateway::GatewayPolicy policy;
+    policy.extras.share = settings.extraShare * extraShareUsed;
+    policy.extras.allowance = std::max(1.0, settings.extraAllowance / assumedInstances);
+    policy.extras.window = settings.extraWindow;
+    return policy;
+}
+
+std::string addressText(const Address &address)
+{
+    return address.number + ":" + std::to_string(address.port);
+}
+
+gateway::FollowPace configurationPace()
+{
+    gateway::FollowPace pace;
+    // Changes are rare, so each is taken at once.
+    pace.leastPeriod = milliseconds(50);
+    return pace;
+}
+
+} // namespace
+
+class GatewayDaemon::Impl
+{
+public:
+    Impl(GatewaySettings newSettings, std::string newPath, GatewayPlatform newPlatform)
+        : m_settings(std::move(newSettings))
+        , m_settingsPath(std::move(newPath))
+        , m_platform(std::move(newPlatform))
+        , m_policy(policyFrom(m_settings))
+        , m_timer(m_context)
+        , m_random(SeededRandom::unpredictable())
+        , m_log(STDOUT_FILENO, m_settings.instance.text(), m_timer)
+        , m_links(m_context, m_platform.headers)
+        , m_fleet(m_links, m_timer, m_random, m_log, m_policy)
+        , m_gateway(m_fleet, m_timer, m_random, m_log, m_policy, m_platform.gatheredFields)
+        , m_directory(
+              [this](const ServerId &server, const gateway::ServerRegistration *registration) {
+                  m_fleet.onRegistration(server, registration);
+              })
+        , m_registrations(m_platform, m_directory, m_timer, m_log,
+                          lapsedHeartbeats * m_settings.heartbeat)
+        , m_configurations(m_platform, m_log,
+                           [this](gateway::GatewayConfiguration configuration) {
+                               configure(std::move(configuration));
+                           })
+        , m_serverRegistry(m_platform.openRegistry(m_context, m_timer, m_settings.registryAddress))
+        , m_configurationRegistry(
+              m_platform.openRegistry(m_context, m_timer, m_settings.registryAddress))
+        , m_serverFollower(m_platform.serverPrefix, {}, *m_serverRegistry, m_registrations, m_timer,
+                           m_random, m_log)
+        , m_configurationFollower(m_platform.configurationPrefix, configurationPace(),
+                                  *m_configurationRegistry, m_configurations, m_timer, m_random,
+                                  m_log)
+        , m_ingress(m_context, m_timer, m_platform.headers,
+                    [this](std::shared_ptr<const gateway::CallerRequest> request,
+                           gateway::AnswerCallback answer) {
+                        return m_gateway.handle(std::move(request), std::move(answer));
+                    })
+        , m_pages(m_context)
+        , m_metrics(m_context)
+        , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+    {
+        std::signal(SIGPIPE, SIG_IGN);
+        m_pages.addPage(m_platform.readinessPath,
+                        [this](const std::string &) { return readinessPage(); });
+    }
+
+    bool start(Reason &reason)
+    {
+        m_ingress.setMaximumConnections(static_cast<std::size_t>(
+            std::max(1, (m_settings.descriptors - reservedDescriptors) / shareForCallers)));
+        if (!m_ingress.listen(m_settings.callerAddress, reason)
+            || !m_pages.listen(addressText(m_settings.readinessAddress), reason)
+            || !m_metrics.listen(addressText(m_settings.metricsAddress), reason))
+            return false;
+        awaitSignal();
+        m_configurationFollower.start();
+        m_serverFollower.start();
+        m_expiry = m_timer.callEvery(expirePeriod, [this](const TimerTick &tick) {
+            m_directory.expire(tick.fired);
+            noteReadiness();
+        });
+        m_log.record(EventId::DaemonStarted, {},
+                     {{"dataCentre", m_settings.dataCentre.text()},
+                      {"callers", addressText(m_settings.callerAddress)}});
+        return true;
+    }
+
+    void run() { m_context.run(); }
+
+private:
+    void configure(gateway::GatewayConfiguration configuration)
+    {
+        m_gateway.configure(std::move(configuration));
+        m_ingress.setLimits(m_gateway.routes()->configuration().limits);
+    }
+
+    [[nodiscard]] bool isReady() const
+    {
+        return !m_isStopping && m_gateway.routes() && m_registrations.isKnown();
+    }
+
+    void noteReadiness()
+    {
+        if (m_wasReady || !isReady())
+            return;
+        m_wasReady = true;
+        m_log.record(EventId::DaemonReady, {},
+                     {{"configuration", m_gateway.routes()->version().value()},
+                      {"servers", m_directory.size()}});
+    }
+
+    [[nodiscard]] OperatorPage readinessPage() const
+    {
+        OperatorPage page;
+        page.status = isReady() ? statusOk : statusUnavailable;
+        page.body = isReady() ? "ready\n" : "not ready\n";
+        return page;
+    }
+
+    void awaitSignal()
+    {
+        m_signals.async_wait([this](const boost::system::error_code &error, int number) {
+            if (error)
+                return;
+            if (number == SIGHUP)
+                reload();
+            else
+                beginStop(number);
+            awaitSignal();
+        });
+    }
+
+    /// Addresses and names stay as they were at the start; a change of them needs a restart.
+    void reload()
+    {
+        Reason reason;
+        const auto settings = loadGatewaySettings(m_settingsPath, reason);
+        if (!settings) {
+            m_log.record(EventId::BadSettings, {}, {{"cause", reason.text}});
+            return;
+        }
+        m_policy = policyFrom(*settings);
+        m_log.record(
+            EventId::SettingsReloaded, {},
+            {{"isChanged", *settings != m_settings}, {"extraShare", settings->extraShare}});
+    }
+
+    void beginStop(int signal)
+    {
+        if (m_isStopping)
+            return;
+        m_isStopping = true;
+        m_log.record(EventId::DaemonStopping, {},
+                     {{"signal", signal},
+                      {"connections", m_ingress.counts().connections},
+                      {"activeCalls", m_gateway.activeCalls()}});
+        m_ingress.beginStop();
+        const Duration forcedEnd = m_settings.stopTime - stopMargin;
+        m_stopDeadline = m_timer.now() + forcedEnd;
+        m_stopStep = m_timer.callAfter(std::min(leavingTime, forcedEnd / 2),
+                                       [this](const TimerTick &) { endWhenIdle(); });
+    }
+
+    void endWhenIdle()
+    {
+        m_ingress.closeIdle();
+        const bool isLate = m_timer.now() >= m_stopDeadline;
+        if (isLate || m_ingress.busyConnections() == 0) {
+            m_log.record(EventId::DaemonStopped, {},
+                         {{"isForced", isLate},
+                          {"activeCalls", m_gateway.activeCalls()},
+                          {"linesLeftOut", m_log.leftOut()}});
+            m_context.stop();
+            return;
+        }
+        m_stopStep =
+            m_timer.callAfter(stopPollPeriod, [this](const TimerTick &) { endWhenIdle(); });
+    }
+
+    GatewaySettings m_settings;
+    std::string m_settingsPath;
+    GatewayPlatform m_platform;
+    gateway::GatewayPolicy m_policy;
+    boost::asio::io_context m_context{1};
+    AsioTimerService m_timer;
+    SeededRandom m_random;
+    JsonEventLog m_log;
+    AsioServerLinks m_links;
+    gateway::ServerFleet m_fleet;
+    gateway::Gateway m_gateway;
+    gateway::ServerDirectory m_directory;
+    ServerRegistrations m_registrations;
+    ConfigurationNews m_configurations;
+    std::unique_ptr<gateway::RegistryReader> m_serverRegistry;
+    std::unique_ptr<gateway::RegistryReader> m_configurationRegistry;
+    gateway::RegistryFollower m_serverFollower;
+    gateway::RegistryFollower m_configurationFollower;
+    CallerIngress m_ingress;
+    OperatorServer m_pages;
+    OperatorServer m_metrics;
+    boost::asio::signal_set m_signals;
+    bool m_isStopping = false;
+    bool m_wasReady = false;
+    TimePoint m_stopDeadline{};
+    Subscription m_expiry;
+    Subscription m_stopStep;
+};
+
+GatewayDaemon::GatewayDaemon(GatewaySettings settings, std::string settingsPath,
+                             GatewayPlatform platform)
+    : m_impl(
+        std::make_unique<Impl>(std::move(settings), std::move(settingsPath), std::move(platform)))
+{
+}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+bool GatewayDaemon::start(Reason &reason)
+{
+    return m_impl->start(reason);
+}
+
+void GatewayDaemon::run()
+{
+    m_impl->run();
+}
+
+std::optional<GatewaySettings> loadGatewaySettings(const std::string &path, Reason &reason)
+{
+    std::ifstream file(path);
+    if (!file) {
+        reason.set(ErrorKind::BadRequest, path + ": can not be read");
+        return std::nullopt;
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    return parseGatewaySettings(text.str(), reason);
+}
+
+} // namespace oleander
--- /dev/null
+++ b/modules/gateway/include/oleander/gateway/ExtraBudget.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <oleander/core/Units.h>
+
+namespace oleander::gateway {
+
+/// What a service may be sent beyond the first sending of each request, by this instance.
+///
+/// All instances share one allowance that is counted over a sliding window. Each keeps its own part
+/// without talking: what its own requests earn, and a fixed number a window.
+struct ExtraBudgetRules
+{
+    /// Extra sendings earned by each first one.
+    double share = 0.19;
+    /// Extra sendings in a window that need not be earned. Of one instance, hence small.
+    double allowance = 1.0;
+    Duration window = seconds(10);
+};
+
+struct ExtraBudget
+{
+    double credit = 0;
+    TimePoint refilled{};
+};
+
+/// A budget with its allowance.
+[[nodiscard]] ExtraBudget freshBudget(const ExtraBudgetRules &rules, TimePoint now);
+
+/// A request was sent for the first time.
+void earnExtra(ExtraBudget &budget, const ExtraBudgetRules &rules);
+
+/// Takes one extra sending if there is one left.
+bool takeExtra(ExtraBudget &budget, const ExtraBudgetRules &rules, TimePoint now);
+
+} // namespace oleander::gateway
--- /dev/null
+++ b/modules/gateway/include/oleander/gateway/GatewayPolicy.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <oleander/core/Units.h>
+#include <oleander/gateway/ExtraBudget.h>
+
+namespace oleander::gateway {
+
+/// The values that steer the gateway. Set for the whole fleet.
+struct GatewayPolicy
+{
+    /// Time kept back from a route's objective for the way to the caller and back.
+    Duration answerMargin = milliseconds(16);
+    /// Time kept back from a caller's deadline, so that the last word still reaches it.
+    Duration deadlineMargin = milliseconds(20);
+    /// A request is sent to a second server when it has taken longer than this share of its kind.
+    PerMille hedgeQuantile{900};
+    /// Shortest wait before a second sending.
+    Duration hedgeMinimum = milliseconds(8);
+    /// Servers give up on parts of a gathered answer after this multiple of the objective.
+    double partDeadlineFactor = 3.0;
+    /// Instances that are assumed to share each server's connections.
+    int assumedInstances = 24;
+    /// Most connections to one server.
+    int connectionsPerServer = 12;
+    /// Servers are told to stop when the caller has been gone for this long; requests that end
+    /// sooner keep their connection.
+    Duration cancelDelay = milliseconds(300);
+    /// When a refused caller is told to come back, where nothing better is known.
+    Duration retryAfter = milliseconds(400);
+    /// A connection on which a reply is overdue for this long beyond its deadline is given up.
+    Duration silenceLimit = milliseconds(400);
+    /// Idle connections younger than this carry requests that may be executed only once.
+    Duration freshIdleTime = milliseconds(2000);
+    /// Idle connections are closed after this time.
+    Duration idleLimit = seconds(20);
+    ExtraBudgetRules extras;
+};
+
+} // namespace oleander::gateway
--- /dev/null
+++ b/modules/gateway/include/oleander/gateway/RegistryFollower.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <oleander/gateway/Registry.h>
+#include <oleander/ports/EventLog.h>
+#include <oleander/ports/RandomSource.h>
+#include <oleander/ports/TimerService.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace oleander::gateway {
+
+/// How often a follower calls.
+struct FollowPace
+{
+    /// Longest wait of one watch. Bounds how long a silent connection goes unnoticed.
+    Duration watchWait = seconds(3);
+    /// Least time between the starts of two watches, so that frequent changes come in batches.
+    Duration leastPeriod = seconds(1);
+    /// First and longest pause after a failed call.
+    Duration firstBackoff = milliseconds(150);
+    Duration longestBackoff = milliseconds(1500);
+};
+
+/// Told what a follower has read.
+class RegistryListener
+{
+public:
+    virtual ~RegistryListener() = default;
+
+    /// All items of the prefix. Pages are read one after the other, so the items need not be of one
+    /// moment; changes since the first page follow as changes.
+    virtual void onItems(const std::vector<RegistryItem> &items) = 0;
+    virtual void onChanges(const std::vector<RegistryItem> &changes) = 0;
+    /// The registry answers again; it had not for `outage`.
+    virtual void onReturned(Duration outage) = 0;
+};
+
+/// Keeps up with one prefix of the registry: reads it whole, then watches it, and starts over when
+/// the history is gone. Reading goes on until the follower is destroyed.
+class RegistryFollower
+{
+public:
+    RegistryFollower(std::string prefix, FollowPace pace, RegistryReader &reader,
+                     RegistryListener &listener, TimerService &timer, RandomSource &random,
+                     EventLog &log);
+    RegistryFollower(const RegistryFollower &) = delete;
+    RegistryFollower &operator=(const RegistryFollower &) = delete;
+
+    void start();
+
+    /// Time since the registry last answered; nothing before the first answer.
+    [[nodiscard]] std::optional<Duration> age() const;
+
+private:
+    void readPage(std::string afterKey);
+    void onPage(RegistryAnswer answer);
+    void watch();
+    void onWatched(RegistryAnswer answer);
+    void retryAfter(RegistryError error, bool fromScratch);
+    void noteAnswer();
+    void later(Duration delay, void (RegistryFollower::*step)());
+    void restart();
+
+    std::string m_prefix;
+    FollowPace m_pace;
+    RegistryReader &m_reader;
+    RegistryListener &m_listener;
+    TimerService &m_timer;
+    RandomSource &m_random;
+    EventLog &m_log;
+    std::vector<RegistryItem> m_items;
+    std::optional<RegistryRevision> m_firstPageRevision;
+    RegistryRevision m_revision = 0;
+    int m_failures = 0;
+    TimePoint m_callStarted{};
+    std::optional<TimePoint> m_lastAnswer;
+    Subscription m_wait;
+    std::shared_ptr<int> m_life = std::make_shared<int>();
+};
+
+} // namespace oleander::gateway
--- /dev/null
+++ b/modules/gateway/include/oleander/gateway/RouteTable.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <oleander/core/Ids.h>
+#include <oleander/gateway/Route.h>
+
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace oleander::gateway {
+
+/// Bounds on what a caller may send, and on how long it may take.
+struct CallerLimits
+{
+    std::size_t headerBytes = 16 * 1024;
+    std::size_t bodyBytes = 256 * 1024;
+    Duration headerTimeout = seconds(10);
+    Duration idleTimeout = seconds(60);
+};
+
+/// What is declared of a service.
+struct ServiceDeclaration
+{
+    ServiceId id;
+    /// Connections that one server of the service takes from all instances together.
+    int connectionCap = 0;
+};
+
+/// One published configuration: routes, services and limits.
+struct GatewayConfiguration
+{
+    SectionVersion version;
+    std::vector<Route> routes;
+    std::vector<ServiceDeclaration> services;
+    CallerLimits limits;
+};
+
+/// The routes of one configuration, indexed by host and path. Immutable; a request keeps the table
+/// it was admitted with.
+class RouteTable
+{
+public:
+    RouteTable() = default;
+    explicit RouteTable(GatewayConfiguration configuration);
+
+    /// The route of the host with the longest prefix that begins the path, or null.
+    [[nodiscard]] const Route *find(std::string_view host, std::string_view path) const;
+    [[nodiscard]] const GatewayConfiguration &configuration() const { return m_configuration; }
+    [[nodiscard]] SectionVersion version() const { return m_configuration.version; }
+
+private:
+    GatewayConfiguration m_configuration;
+    /// By host and prefix.
+    std::unordered_map<std::string, std::unordered_map<std::string, const Route *>> m_byHost;
+};
+
+using RouteTablePtr = std::shared_ptr<const RouteTable>;
+
+} // namespace oleander::gateway
--- /dev/null
+++ b/modules/gateway/include/oleander/gateway/ServiceCall.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <oleander/core/ErrorKind.h>
+#include <oleander/gateway/ServerFleet.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace oleander::gateway {
+
+/// What a call to one service needs to know.
+struct ServiceCallPlan
+{
+    std::shared_ptr<const CallerRequest> request;
+    ServicePool *pool = nullptr;
+    Repeatability repeatability = Repeatability::AtMostOnce;
+    int priority = 0;
+    int maximumAttempts = 1;
+    /// Servers give up then, and nothing is sent any more.
+    TimePoint deadline{};
+    /// Wait before a request that has no reply is sent to a second server.
+    Duration hedgeDelay{};
+    /// Latency that is usual, and where new ones are counted.
+    Duration usualLatency{};
+    std::shared_ptr<LatencyWindow> latencies;
+};
+
+/// How a call to a service ended.
+struct ServiceOutcome
+{
+    /// The reply to hand on; a server's failure when nothing better came.
+    std::optional<ServerReply> reply;
+    /// Without a reply: whether a server may have executed the request.
+    RanState ran = RanState::NotRun;
+};
+
+/// Brings one request to one server of a service, and to further ones where that is allowed:
+/// after a proof that it was not executed, after a failure of an idempotent request, and when an
+/// idempotent request takes unusually long. Further sendings are paid from the service's budget.
+class ServiceCall : public std::enable_shared_from_this<ServiceCall>
+{
+public:
+    using Callback = std::function<void(ServiceOutcome)>;
+
+    ServiceCall(ServerFleet &fleet, TimerService &timer, ServiceCallPlan plan);
+    ServiceCall(const ServiceCall &) = delete;
+    ServiceCall &operator=(const ServiceCall &) = delete;
+    ~ServiceCall();
+
+    /// Begins. `done` is called once, never from inside start(), unless the call is left first.
+    void start(Callback done);
+    /// Nobody wants the outcome: nothing more is sent; what runs goes on to its end.
+    void leave();
+    /// Stops what runs, by closing its connections. After leave().
+    void stopRunning();
+
+    [[nodiscard]] bool isEnded() const { return !m_done; }
+    /// A sending is at a server and has not ended.
+    [[nodiscard]] bool isRunning() const;
+    [[nodiscard]] bool wasSent() const { return m_wasSent; }
+    /// What is known of the execution by now.
+    [[nodiscard]] RanState ranState() const;
+    [[nodiscard]] int attempts() const { return m_sentCount; }
+
+private:
+    bool sendNext(bool isExtra);
+    void sendTo(BackendServer &server);
+    void hedge();
+    void armHedge();
+    void onEnded(const AttemptPtr &attempt, AttemptResult result);
+    void onReplied(AttemptResult result);
+    void retryOrFinish(bool wasSent);
+    [[nodiscard]] bool mayStillSend() const;
+    void finish();
+    void finishWith(ServiceOutcome outcome);
+
+    ServerFleet &m_fleet;
+    TimerService &m_timer;
+    ServiceCallPlan m_plan;
+    Callback m_done;
+    std::vector<AttemptPtr> m_running;
+    std::vector<BackendServer *> m_tried;
+    std::optional<ServerReply> m_failure;
+    int m_sentCount = 0;
+    bool m_wasSent = false;
+    bool m_maybeRan = false;
+    Subscription m_hedge;
+};
+
+} // namespace oleander::gateway
--- /dev/null
+++ b/modules/gateway/src/CallBase.cpp
@@ -0,0 +1,150 @@
+#include "Calls.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace oleander::gateway {
+
+namespace {
+
+constexpr int statusUnavailable = 503;
+
+TimePoint deadlineOf(const CallerRequest &request, const Route &route, const GatewayPolicy &policy)
+{
+    TimePoint deadline = request.arrived + route.timeout;
+    if (request.patience)
+        deadline = std::min(deadline, request.arrived + *request.patience - policy.deadlineMargin);
+    return deadline;
+}
+
+std::string secondsText(Duration duration)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", inMilliseconds(duration) / 1000.0);
+    return text.data();
+}
+
+} // namespace
+
+CallBase::CallBase(Gateway &gateway, std::shared_ptr<const CallerRequest> request,
+                   RouteTablePtr routes, const Route &route, AnswerCallback answer)
+    : m_gateway(gateway)
+    , m_request(std::move(request))
+    , m_routes(std::move(routes))
+    , m_route(route)
+    , m_latencies(gateway.stateOf(route.id).latencies)
+    , m_deadline(deadlineOf(*m_request, route, gateway.m_policy))
+    , m_answer(std::move(answer))
+{
+    ++m_gateway.m_active;
+}
+
+CallBase::~CallBase()
+{
+    --m_gateway.m_active;
+}
+
+void CallBase::start()
+{
+    m_self = shared_from_this();
+    const Duration left = m_deadline - m_gateway.m_timer.now();
+    m_deadlineTimer = m_gateway.m_timer.callAfter(left, [this](const TimerTick &) {
+        if (!isAnswered())
+            onDeadline();
+    });
+    begin();
+}
+
+void CallBase::callerLeft()
+{
+    if (isAnswered())
+        return;
+    ++m_gateway.m_counts.left;
+    m_answer = nullptr;
+    record(EventId::CallerLeft, {{"afterMs", inMilliseconds(age())}});
+    m_deadlineTimer.reset();
+    leaveServers();
+    if (m_route.repeatability == Repeatability::AtMostOnce) {
+        endCall();
+        return;
+    }
+    m_stopTimer =
+        m_gateway.m_timer.callAfter(m_gateway.m_policy.cancelDelay, [this](const TimerTick &) {
+            stopServers();
+            endCall();
+        });
+}
+
+void CallBase::answer(CallerAnswer answer)
+{
+    const auto callback = std::exchange(m_answer, nullptr);
+    if (!callback)
+        return;
+    leaveServers();
+    callback(std::move(answer));
+    endCall();
+}
+
+void CallBase::refuse(std::string_view cause)
+{
+    ++m_gateway.m_counts.refused;
+    record(EventId::QueryRefused, {{"cause", cause},
+                                   {"route", m_route.id.text()},
+                                   {"configuration", m_routes->version().value()},
+                                   {"afterMs", inMilliseconds(age())}});
+    answer({statusUnavailable,
+            {{"Retry-After", secondsText(m_gateway.m_policy.retryAfter)}},
+            "not run: " + std::string(cause) + "\n"});
+}
+
+void CallBase::fail(int status, std::string_view cause)
+{
+    ++m_gateway.m_counts.failed;
+    record(EventId::QueryFailed, {{"cause", cause},
+                                  {"status", status},
+                                  {"route", m_route.id.text()},
+                                  {"configuration", m_routes->version().value()},
+                                  {"afterMs", inMilliseconds(age())}});
+    answer({status, {}, std::string(cause) + "\n"});
+}
+
+ServiceCallPlan CallBase::planFor(const ServiceId &service, TimePoint deadline) const
+{
+    const GatewayPolicy &policy = m_gateway.m_policy;
+    // Before there are samples, a share of the objective stands for what is usual.
+    constexpr int assumedPart = 4;
+    const Duration assumed = m_route.objective / assumedPart;
+    ServiceCallPlan plan;
+    plan.request = m_request;
+    plan.pool = &m_gateway.m_fleet.pool(service);
+    plan.repeatability = m_route.repeatability;
+    plan.priority = m_route.priority;
+    plan.maximumAttempts = m_route.maximumAttempts;
+    plan.deadline = deadline;
+    plan.usualLatency = m_latencies->mean(assumed);
+    plan.hedgeDelay =
+        std::max(policy.hedgeMinimum, m_latencies->quantile(policy.hedgeQuantile, assumed));
+    plan.latencies = m_latencies;
+    return plan;
+}
+
+void CallBase::record(EventId event, EventLog::Fields fields) const
+{
+    m_gateway.m_log.record(event, m_request->id, fields);
+}
+
+Duration CallBase::age() const
+{
+    return m_gateway.m_timer.now() - m_request->arrived;
+}
+
+void CallBase::endCall()
+{
+    m_deadlineTimer.reset();
+    m_stopTimer.reset();
+    // The call may be gone after this.
+    m_gateway.m_timer.post([self = std::exchange(m_self, nullptr)] {});
+}
+
+} // namespace oleander::gateway
--- /dev/null
+++ b/modules/gateway/src/Gateway.cpp
@@ -0,0 +1,90 @@
+#include "Calls.h"
+
+#include <utility>
+
+namespace oleander::gateway {
+
+namespace {
+
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+
+} // namespace
+
+Gateway::Gateway(ServerFleet &fleet, TimerService &timer, RandomSource &random, EventLog &log,
+                 const GatewayPolicy &policy, GatheredFields gatheredFields)
+    : m_fleet(fleet)
+    , m_timer(timer)
+    , m_random(random)
+    , m_log(log)
+    , m_policy(policy)
+    , m_gatheredFields(std::move(gatheredFields))
+{
+}
+
+Gateway::~Gateway() = default;
+
+void Gateway::configure(GatewayConfiguration configuration)
+{
+    if (m_routes && configuration.version <= m_routes->version()) {
+        if (configuration.version < m_routes->version()) {
+            m_log.record(EventId::ConfigurationOld, {},
+                         {{"offered", configuration.version.value()},
+                          {"held", m_routes->version().value()}});
+        }
+        return;
+    }
+    m_routes = std::make_shared<const RouteTable>(std::move(configuration));
+    const GatewayConfiguration &present = m_routes->configuration();
+    m_fleet.onConfiguration(present);
+    std::unordered_map<RouteId, std::unique_ptr<RouteState>> kept;
+    for (const Route &route : present.routes) {
+        const auto found = m_states.find(route.id);
+        if (found != m_states.end())
+            kept[route.id] = std::move(found->second);
+    }
+    m_states = std::move(kept);
+    m_log.record(EventId::ConfigurationAccepted, {},
+                 {{"version", present.version.value()},
+                  {"routes", present.routes.size()},
+                  {"services", present.services.size()}});
+}
+
+std::shared_ptr<Call> Gateway::handle(std::shared_ptr<const CallerRequest> request,
+                                      AnswerCallback answer)
+{
+    const Route *route =
+        m_routes ? m_routes->find(request->host, pathOf(request->target)) : nullptr;
+    if (!route) {
+        const int status = m_routes ? statusNotFound : statusUnavailable;
+        const std::string_view cause = m_routes ? "no such route" : "no configuration yet";
+        ++m_counts.refused;
+        m_log.record(EventId::QueryRefused, request->id,
+                     {{"cause", cause},
+                      {"status", status},
+                      {"configuration", m_routes ? m_routes->version().value() : 0}});
+        m_timer.post([answer = std::move(answer), status, cause] {
+            answer({status, {}, std::string(cause) + "\n"});
+        });
+        return nullptr;
+    }
+    std::shared_ptr<CallBase> call;
+    if (route->isGathered())
+        call = std::make_shared<GatherCall>(*this, std::move(request), m_routes, *route,
+                                            std::move(answer));
+    else
+        call = std::make_shared<ForwardCall>(*this, std::move(request), m_routes, *route,
+                                             std::move(answer));
+    call->start();
+    return call;
+}
+
+Gateway::RouteState &Gateway::stateOf(const RouteId &route)
+{
+    auto &state = m_states[route];
+    if (!state)
+        state = std::make_unique<RouteState>();
+    return *state;
+}
+
+} // namespace oleander::gateway
--- /dev/null
+++ b/modules/gateway/src/GatherCall.cpp
@@ -0,0 +1,156 @@
+#include "Calls.h"
+
+#include <oleander/gateway/RecordMerge.h>
+
+#include <algorithm>
+
+namespace oleander::gateway {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusBadGateway = 502;
+constexpr int statusTimeout = 504;
+
+bool isPart(const ServiceOutcome &outcome)
+{
+    return outcome.reply && outcome.reply->status == statusOk && !outcome.reply->receipt.empty();
+}
+
+} // namespace
+
+void GatherCall::begin()
+{
+    const std::size_t required = requiredShards(m_route);
+    const auto reachable = std::ranges::count_if(m_route.shards, [this](const ServiceId &shard) {
+        return m_gateway.m_fleet.pool(shard).hasUsableServer();
+    });
+    if (static_cast<std::size_t>(reachable) < required) {
+        m_gateway.m_timer.post([self = weak_from_this()] {
+            if (const auto call = std::static_pointer_cast<GatherCall>(self.lock()))
+                call->refuse("too many shards without a server");
+        });
+        return;
+    }
+    const GatewayPolicy &policy = m_gateway.m_policy;
+    const auto patience =
+        std::chrono::duration_cast<Duration>(m_route.objective * policy.partDeadlineFactor);
+    const TimePoint partDeadline = std::min(m_deadline, m_request->arrived + patience);
+    m_openShards = m_route.shards.size();
+    m_parts.reserve(m_openShards);
+    for (std::size_t shard = 0; shard < m_route.shards.size(); ++shard) {
+        m_calls.push_back(std::make_shared<ServiceCall>(
+            m_gateway.m_fleet, m_gateway.m_timer, planFor(m_route.shards[shard], partDeadline)));
+        m_calls.back()->start(
+            [this, shard](ServiceOutcome outcome) { onOutcome(shard, std::move(outcome)); });
+    }
+    const TimePoint close = m_request->arrived + m_route.objective - policy.answerMargin;
+    m_objectiveTimer = m_gateway.m_timer.callAfter(
+        std::max(Duration{}, close - m_gateway.m_timer.now()),
+        [this, partDeadline](const TimerTick &) { onObjectiveClose(partDeadline); });
+}
+
+void GatherCall::onObjectiveClose(TimePoint partDeadline)
+{
+    // Servers answer a request that they gave up at the deadline a little after it.
+    constexpr Duration lastReplies = milliseconds(30);
+    m_isObjectiveClose = true;
+    decide();
+    if (isAnswered())
+        return;
+    m_objectiveTimer = m_gateway.m_timer.callAfter(
+        std::max(Duration{}, partDeadline + lastReplies - m_gateway.m_timer.now()),
+        [this](const TimerTick &) { onDeadline(); });
+}
+
+void GatherCall::onOutcome(std::size_t shard, ServiceOutcome outcome)
+{
+    --m_openShards;
+    m_anyRan = m_anyRan || outcome.ran != RanState::NotRun;
+    if (isPart(outcome)) {
+        m_parts.push_back(std::move(*outcome.reply));
+    } else {
+        record(EventId::ShardMissing, {{"service", m_route.shards[shard].text()},
+                                       {"status", outcome.reply ? outcome.reply->status : 0},
+                                       {"attempts", m_calls[shard]->attempts()},
+                                       {"afterMs", inMilliseconds(age())}});
+    }
+    decide();
+}
+
+void GatherCall::decide()
+{
+    if (isAnswered())
+        return;
+    const std::size_t required = requiredShards(m_route);
+    if (m_parts.size() >= required && (m_openShards == 0 || m_isObjectiveClose))
+        answerWithParts();
+    else if (m_parts.size() + m_openShards < required)
+        giveUp();
+}
+
+void GatherCall::answerWithParts()
+{
+    const std::size_t missing = m_route.shards.size() - m_parts.size();
+    std::vector<std::string_view> bodies;
+    std::vector<std::string> receipts;
+    for (const ServerReply &part : m_parts) {
+        bodies.emplace_back(part.body);
+        receipts.push_back(part.receipt);
+    }
+    int attempts = 0;
+    for (const auto &call : m_calls)
+        attempts += call->attempts();
+    ++m_gateway.m_counts.answered;
+    m_gateway.m_counts.partial += missing > 0 ? 1 : 0;
+    record(missing > 0 ? EventId::QueryPartial : EventId::QueryAnswered,
+           {{"status", statusOk},
+            {"route", m_route.id.text()},
+            {"shards", m_route.shards.size()},
+            {"missing", missing},
+            {"attempts", attempts},
+            {"configuration", m_routes->version().value()},
+            {"afterMs", inMilliseconds(age())}});
+    answer({statusOk, m_gateway.m_gatheredFields(receipts, missing),
+            greatestRecords(bodies, m_route.recordLimit)});
+}
+
+RanState GatherCall::ranState() const
+{
+    const bool anyRunning = std::ranges::any_of(
+        m_calls, [](const auto &call) { return call->ranState() != RanState::NotRun; });
+    return m_anyRan || anyRunning ? RanState::MaybeRan : RanState::NotRun;
+}
+
+void GatherCall::giveUp()
+{
+    if (ranState() == RanState::NotRun)
+        refuse("too few shards could take the request");
+    else
+        fail(statusBadGateway, "too few shards answered");
+}
+
+void GatherCall::onDeadline()
+{
+    if (m_parts.size() >= requiredShards(m_route))
+        answerWithParts();
+    else if (ranState() == RanState::NotRun)
+        refuse("no server was free in time");
+    else
+        fail(statusTimeout, "too few shards answered in time");
+}
+
+void GatherCall::leaveServers()
+{
+    m_objectiveTimer.reset();
+    for (const auto &call : m_calls)
+        call->leave();
+}
+
+void GatherCall::stopServers()
+{
+    for (const auto &call : m_calls)
+        call->stopRunning();
+}
+
+} // namespace oleander::gateway
--- /dev/null
+++ b/modules/gateway/src/ServerDirectory.cpp
@@ -0,0 +1,77 @@
+#include <oleander/gateway/ServerDirectory.h>
+
+#include <unordered_set>
+#include <utility>
+
+namespace oleander::gateway {
+
+ServerDirectory::ServerDirectory(Listener listener)
+    : m_listener(std::move(listener))
+{
+}
+
+void ServerDirectory::put(ServerRegistration registration)
+{
+    const ServerId id = registration.id;
+    m_missing.erase(id);
+    auto &held = m_servers[id];
+    if (held == registration)
+        return;
+    held = std::move(registration);
+    m_listener(id, &held);
+}
+
+void ServerDirectory::remove(const ServerId &server, TimePoint now)
+{
+    if (!m_servers.contains(server))
+        return;
+    if (now < m_trustRemovalsFrom)
+        m_missing.try_emplace(server, m_trustRemovalsFrom);
+    else
+        drop(server);
+}
+
+void ServerDirectory::replaceAll(std::vector<ServerRegistration> registrations, TimePoint now)
+{
+    std::unordered_set<ServerId> present;
+    for (ServerRegistration &registration : registrations) {
+        present.insert(registration.id);
+        put(std::move(registration));
+    }
+    std::vector<ServerId> absent;
+    for (const auto &[id, registration] : m_servers) {
+        if (!present.contains(id))
+            absent.push_back(id);
+    }
+    for (const ServerId &id : absent)
+        remove(id, now);
+}
+
+void ServerDirectory::registryReturned(TimePoint now)
+{
+    m_trustRemovalsFrom = now + returnTime;
+}
+
+void ServerDirectory::expire(TimePoint now)
+{
+    if (m_missing.empty() || now < m_trustRemovalsFrom)
+        return;
+    const auto missing = std::exchange(m_missing, {});
+    for (const auto &[id, since] : missing)
+        drop(id);
+}
+
+const ServerRegistration *ServerDirectory::find(const ServerId &server) const
+{
+    const auto found = m_servers.find(server);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+void ServerDirectory::drop(const ServerId &server)
+{
+    m_servers.erase(server);
+    m_missing.erase(server);
+    m_listener(server, nullptr);
+}
+
+} // namespace oleander::gateway
--- /dev/null
+++ b/modules/gateway/src/ServerScore.cpp
@@ -0,0 +1,133 @@
+#include <oleander/gateway/ServerScore.h>
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace oleander::gateway {
+
+namespace {
+
+/// Weight of a new sample in the moving averages.
+constexpr double sampleWeight = 0.15;
+/// One reply moves the average by no more than this multiple of what is usual.
+constexpr double largestSlowness = 12.0;
+constexpr double smallestSlowness = 0.3;
+/// A request without a reply for this multiple of the usual latency shows that a server stands
+/// still.
+constexpr double stalledAge = 3.0;
+/// Preference for a server that stands still, relative to one that answers.
+constexpr double stalledPreference = 0.02;
+/// Preference for a server that is avoided.
+constexpr double avoidedPreference = 0.0005;
+/// Preference for a server that has just started.
+constexpr double warmingPreference = 0.4;
+/// Smallest preference for the failures of a server, so that it is tried again now and then.
+constexpr double smallestTrust = 0.02;
+/// A load report says something for this long.
+constexpr Duration loadLife = milliseconds(600);
+constexpr Duration firstAvoidance = milliseconds(250);
+constexpr Duration longestAvoidance = seconds(2);
+/// An opening that fails once may be a full server, so it alone is no reason to avoid it.
+constexpr int longestDoubling = 4;
+
+double towards(double average, double sample)
+{
+    return average + sampleWeight * (sample - average);
+}
+
+/// Waiting requests per slot by the server's last report, fading with its age.
+double reportedQueue(const ServerScore &score, TimePoint now)
+{
+    if (!score.load || now - score.loadSeen > loadLife || score.load->slots <= 0)
+        return 0;
+    const double freshness = 1.0
+                             - static_cast<double>((now - score.loadSeen).count())
+                                   / static_cast<double>(loadLife.count());
+    return freshness * score.load->waiting / score.load->slots;
+}
+
+} // namespace
+
+void noteReply(ServerScore &score, Duration latency, Duration usual, TimePoint now)
+{
+    static_cast<void>(now);
+    score.failureShare = towards(score.failureShare, 0);
+    if (usual <= Duration{})
+        return;
+    const double relative =
+        static_cast<double>(latency.count()) / static_cast<double>(usual.count());
+    score.slowness =
+        towards(score.slowness, std::clamp(relative, smallestSlowness, largestSlowness));
+}
+
+void noteFailure(ServerScore &score, TimePoint now)
+{
+    static_cast<void>(now);
+    score.failureShare = towards(score.failureShare, 1);
+}
+
+void noteRefusal(ServerScore &score, TimePoint now)
+{
+    noteFailure(score, now);
+}
+
+void noteLoad(ServerScore &score, const ReportedLoad &load, TimePoint now)
+{
+    score.load = load;
+    score.loadSeen = now;
+}
+
+Duration noteFailedOpening(ServerScore &score, TimePoint now)
+{
+    ++score.failedOpenings;
+    const int doublings = std::min(score.failedOpenings - 1, longestDoubling);
+    const Duration avoided = std::min(longestAvoidance, firstAvoidance * (1 << doublings));
+    score.avoidUntil = now + avoided;
+    return avoided;
+}
+
+void noteOpened(ServerScore &score)
+{
+    score.failedOpenings = 0;
+    score.avoidUntil = {};
+}
+
+double preferenceFor(const ServerCandidate &candidate, TimePoint now)
+{
+    const ServerScore &score = *candidate.score;
+    double preference = 1.0 / (score.slowness * score.slowness);
+    const double queue = candidate.inFlight + reportedQueue(score, now);
+    preference /= (1.0 + queue) * (1.0 + queue);
+    const double trust = 1.0 - score.failureShare;
+    preference *= std::max(smallestTrust, trust * trust * trust);
+    if (candidate.oldestAge > stalledAge)
+        preference *= stalledPreference;
+    if (now < score.warmUntil)
+        preference *= warmingPreference;
+    if (now < score.avoidUntil)
+        preference *= avoidedPreference;
+    return preference;
+}
+
+std::optional<std::size_t> chooseServer(std::span<const ServerCandidate> candidates, TimePoint now,
+                                        std::uint64_t random)
+{
+    if (candidates.empty())
+        return std::nullopt;
+    if (candidates.size() == 1)
+        return candidates.front().index;
+    std::vector<double> sums;
+    sums.reserve(candidates.size());
+    double sum = 0;
+    for (const ServerCandidate &candidate : candidates)
+        sums.push_back(sum += preferenceFor(candidate, now));
+    constexpr double randomRange = 18446744073709551616.0; // 2^64
+    const double point = static_cast<double>(random) / randomRange * sum;
+    const auto chosen = std::ranges::upper_bound(sums, point);
+    const auto position = std::min<std::size_t>(static_cast<std::size_t>(chosen - sums.begin()),
+                                                candidates.size() - 1);
+    return candidates[position].index;
+}
+
+} // namespace oleander::gateway
--- /dev/null
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -0,0 +1,189 @@
+#include <oleander/gateway/ServiceCall.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace oleander::gateway {
+
+namespace {
+
+constexpr int firstServerError = 500;
+
+} // namespace
+
+ServiceCall::ServiceCall(ServerFleet &fleet, TimerService &timer, ServiceCallPlan plan)
+    : m_fleet(fleet)
+    , m_timer(timer)
+    , m_plan(std::move(plan))
+{
+}
+
+ServiceCall::~ServiceCall()
+{
+    leave();
+}
+
+void ServiceCall::start(Callback done)
+{
+    m_done = std::move(done);
+    if (sendNext(false))
+        armHedge();
+    else
+        m_timer.post([self = weak_from_this()] {
+            if (const auto call = self.lock())
+                call->finish();
+        });
+}
+
+void ServiceCall::leave()
+{
+    m_done = nullptr;
+    m_hedge.reset();
+    for (const AttemptPtr &attempt : m_running)
+        attempt->whenEnded = nullptr;
+}
+
+void ServiceCall::stopRunning()
+{
+    for (const AttemptPtr &attempt : m_running) {
+        if (attempt->server && attempt->isSent)
+            attempt->server->stop(attempt);
+    }
+    m_running.clear();
+}
+
+bool ServiceCall::isRunning() const
+{
+    return std::ranges::any_of(m_running,
+                               [](const AttemptPtr &attempt) { return attempt->isSent; });
+}
+
+RanState ServiceCall::ranState() const
+{
+    if (m_failure)
+        return RanState::Ran;
+    return m_maybeRan || isRunning() ? RanState::MaybeRan : RanState::NotRun;
+}
+
+bool ServiceCall::mayStillSend() const
+{
+    return m_done && m_timer.now() < m_plan.deadline;
+}
+
+bool ServiceCall::sendNext(bool isExtra)
+{
+    if (!mayStillSend())
+        return false;
+    BackendServer *server = m_fleet.choose(*m_plan.pool, m_tried, m_plan.usualLatency);
+    if (!server)
+        return false;
+    if (isExtra && !m_fleet.takeExtra(*m_plan.pool))
+        return false;
+    sendTo(*server);
+    return true;
+}
+
+void ServiceCall::sendTo(BackendServer &server)
+{
+    auto attempt = std::make_shared<Attempt>();
+    attempt->request = m_plan.request;
+    attempt->repeatability = m_plan.repeatability;
+    attempt->priority = m_plan.priority;
+    attempt->deadline = m_plan.deadline;
+    attempt->lastSend = m_plan.deadline;
+    attempt->usualLatency = m_plan.usualLatency;
+    attempt->latencies = m_plan.latencies;
+    attempt->whenEnded = [self = weak_from_this(), raw = attempt.get()](AttemptResult result) {
+        const auto call = self.lock();
+        if (!call)
+            return;
+        const auto found = std::ranges::find(call->m_running, raw, &AttemptPtr::get);
+        if (found != call->m_running.end())
+            call->onEnded(*found, std::move(result));
+    };
+    if (m_sentCount++ == 0)
+        m_fleet.earnExtra(*m_plan.pool);
+    m_tried.push_back(&server);
+    m_running.push_back(attempt);
+    server.submit(attempt);
+}
+
+void ServiceCall::armHedge()
+{
+    if (m_plan.repeatability != Repeatability::Idempotent || m_plan.maximumAttempts < 2)
+        return;
+    m_hedge = m_timer.callAfter(m_plan.hedgeDelay, [this](const TimerTick &) { hedge(); });
+}
+
+void ServiceCall::hedge()
+{
+    if (!m_done || m_running.size() != 1 || m_sentCount >= m_plan.maximumAttempts)
+        return;
+    const AttemptPtr waiting = m_running.front();
+    sendNext(waiting->isSent);
+}
+
+void ServiceCall::onEnded(const AttemptPtr &ended, AttemptResult result)
+{
+    const AttemptPtr attempt = ended;
+    std::erase(m_running, attempt);
+    m_wasSent = m_wasSent || attempt->isSent;
+    switch (result.end) {
+    case AttemptEnd::Replied:
+        onReplied(std::move(result));
+        return;
+    case AttemptEnd::NotSent:
+        --m_sentCount;
+        retryOrFinish(false);
+        return;
+    case AttemptEnd::NotExecuted:
+        retryOrFinish(true);
+        return;
+    case AttemptEnd::Lost:
+        m_maybeRan = true;
+        if (m_plan.repeatability == Repeatability::Idempotent)
+            retryOrFinish(true);
+        else
+            finish();
+        return;
+    }
+}
+
+void ServiceCall::onReplied(AttemptResult result)
+{
+    const bool isFailure = result.reply.status >= firstServerError;
+    if (!isFailure || m_plan.repeatability == Repeatability::AtMostOnce) {
+        finishWith({std::move(result.reply), RanState::Ran});
+        return;
+    }
+    m_failure = std::move(result.reply);
+    retryOrFinish(true);
+}
+
+void ServiceCall::retryOrFinish(bool wasSent)
+{
+    if (!m_done)
+        return;
+    if (m_sentCount < m_plan.maximumAttempts && sendNext(wasSent))
+        return;
+    if (m_running.empty())
+        finish();
+}
+
+void ServiceCall::finish()
+{
+    if (m_failure)
+        finishWith({std::move(m_failure), RanState::Ran});
+    else
+        finishWith({std::nullopt, ranState()});
+}
+
+void ServiceCall::finishWith(ServiceOutcome outcome)
+{
+    const auto done = std::exchange(m_done, nullptr);
+    leave();
+    if (done)
+        done(std::move(outcome));
+}
+
+} // namespace oleander::gateway
--- a/modules/ports/include/oleander/ports/EventLog.h
+++ b/modules/ports/include/oleander/ports/EventLog.h
@@ -3,20 +3,67 @@
 #include <oleander/core/Event.h>
 #include <oleander/core/Ids.h>
 
+#include <concepts>
+#include <cstdint>
+#include <initializer_list>
+#include <string>
 #include <string_view>
+#include <variant>
 
 namespace oleander {
 
-/// Where numbered events go. The text must never hold a payload.
+/// One named value of an event. The text must outlive the call that records it.
+struct EventField
+{
+    using Value = std::variant<std::int64_t, double, bool, std::string_view>;
+
+    EventField(std::string_view fieldName, std::string_view text)
+        : name(fieldName)
+        , value(text)
+    {
+    }
+    EventField(std::string_view fieldName, const char *text)
+        : EventField(fieldName, std::string_view(text))
+    {
+    }
+    EventField(std::string_view fieldName, const std::string &text)
+        : EventField(fieldName, std::string_view(text))
+    {
+    }
+    template <typename Number>
+    requires std::integral<Number> || std::floating_point<Number>
+    EventField(std::string_view fieldName, Number number)
+        : name(fieldName)
+    {
+        if constexpr (std::same_as<Number, bool>)
+            value = number;
+        else if constexpr (std::floating_point<Number>)
+            value = static_cast<double>(number);
+        else
+            value = static_cast<std::int64_t>(number);
+    }
+
+    std::string_view name;
+    Value value;
+};
+
+/// Where numbered events go. Neither text nor fields may hold a payload.
 class EventLog
 {
 public:
+    using Fields = std::initializer_list<EventField>;
+
     virtual ~EventLog() = default;
 
     /// An event of the process as a whole.
     void record(EventId event, std::string_view text) { record(event, RequestId{}, text); }
     /// An event of one request.
     virtual void record(EventId event, const RequestId &request, std::string_view text) = 0;
+    /// An event with named values, of one request or, with an empty id, of the process.
+    virtual void record(EventId event, const RequestId &request, Fields fields);
 };
 
+/// "name=value name=value", for logs that write lines of text.
+[[nodiscard]] std::string textOf(EventLog::Fields fields);
+
 } // namespace oleander
--- /dev/null
+++ b/modules/settings/include/oleander/settings/GatewaySettings.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <oleander/core/Ids.h>
+#include <oleander/core/Units.h>
+#include <oleander/settings/Address.h>
+#include <oleander/settings/Finding.h>
+
+#include <optional>
+#include <string_view>
+
+namespace oleander {
+
+/// What one instance of the gateway learns from its own settings file. Routes and servers come from
+/// the platform's registry.
+struct GatewaySettings
+{
+    InstanceId instance;
+    DataCentreId dataCentre;
+    Address callerAddress;
+    Address readinessAddress;
+    /// Counters and histograms, for operators.
+    Address metricsAddress;
+    Address registryAddress;
+    /// Time between a stop signal and the end that is forced.
+    Duration stopTime = seconds(6);
+    /// Period in which servers renew their registration.
+    Duration heartbeat = seconds(1);
+    /// Descriptors that the process may have open.
+    int descriptors = 1024;
+    /// Extra sendings that all instances together may make of each service, as a share of its
+    /// requests and in number, in a window.
+    double extraShare = 0.2;
+    double extraAllowance = 0;
+    Duration extraWindow = seconds(10);
+
+    bool operator==(const GatewaySettings &) const = default;
+};
+
+/// Reads a gateway's settings file, JSON. Keys: `instance`, `dataCentre`, `callerAddress`,
+/// `readinessAddress`, `metricsAddress`, `registryAddress`, `stopSeconds`, `heartbeatMs`,
+/// `descriptors`, `extraLoad` with `share`, `allowance` and `windowSeconds`. All are required.
+/// Every fault is reported with its path.
+std::optional<GatewaySettings> readGatewaySettings(std::string_view text, Findings &findings);
+
+/// The same, with the first fault.
+std::optional<GatewaySettings> parseGatewaySettings(std::string_view text, Reason &reason);
+
+} // namespace oleander
--- /dev/null
+++ b/modules/settings/src/GatewaySettings.cpp
@@ -0,0 +1,81 @@
+#include "JsonText.h"
+#include "ObjectReader.h"
+
+#include <oleander/settings/GatewaySettings.h>
+
+#include <nlohmann/json.hpp>
+
+namespace oleander {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr NumberRange heartbeatRange{10, 600'000, "ms"};
+constexpr NumberRange descriptorRange{64, 1 << 24, "descriptors"};
+constexpr double longestStop = 3600;
+constexpr double longestWindow = 3600;
+constexpr double largestShare = 1;
+constexpr double largestAllowance = 1e9;
+
+Address readAddress(ObjectReader &reader, std::string_view key)
+{
+    return parseAddress(reader.address(key)).value_or(Address{});
+}
+
+Duration inDuration(std::optional<double> number)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(number.value_or(0)));
+}
+
+void readExtraLoad(const json &object, const std::string &path, GatewaySettings &settings,
+                   Findings &findings)
+{
+    ObjectReader reader(object, path, findings);
+    settings.extraShare = reader.number("share", 0, largestShare, Presence::Required).value_or(0);
+    settings.extraAllowance =
+        reader.number("allowance", 0, largestAllowance, Presence::Required).value_or(0);
+    settings.extraWindow =
+        inDuration(reader.number("windowSeconds", 1, longestWindow, Presence::Required));
+    reader.finish();
+}
+
+} // namespace
+
+std::optional<GatewaySettings> readGatewaySettings(std::string_view text, Findings &findings)
+{
+    const std::size_t before = findings.size();
+    const std::optional<json> document = readJson(text, findings);
+    if (!document)
+        return std::nullopt;
+    ObjectReader reader(*document, "$", findings);
+    GatewaySettings settings;
+    settings.instance = reader.id<InstanceId>("instance");
+    settings.dataCentre = reader.id<DataCentreId>("dataCentre");
+    settings.callerAddress = readAddress(reader, "callerAddress");
+    settings.readinessAddress = readAddress(reader, "readinessAddress");
+    settings.metricsAddress = readAddress(reader, "metricsAddress");
+    settings.registryAddress = readAddress(reader, "registryAddress");
+    settings.stopTime =
+        inDuration(reader.number("stopSeconds", 0.1, longestStop, Presence::Required));
+    settings.heartbeat =
+        milliseconds(reader.integer("heartbeatMs", heartbeatRange, Presence::Required).value_or(0));
+    settings.descriptors = static_cast<int>(
+        reader.integer("descriptors", descriptorRange, Presence::Required).value_or(0));
+    if (const json *extraLoad = reader.object("extraLoad", Presence::Required))
+        readExtraLoad(*extraLoad, reader.pathOf("extraLoad"), settings, findings);
+    reader.finish();
+    if (findings.size() != before)
+        return std::nullopt;
+    return settings;
+}
+
+std::optional<GatewaySettings> parseGatewaySettings(std::string_view text, Reason &reason)
+{
+    Findings findings;
+    std::optional<GatewaySettings> settings = readGatewaySettings(text, findings);
+    setReason(findings, reason);
+    return settings;
+}
+
+} // namespace oleander
--- a/modules/settings/src/ObjectReader.cpp
+++ b/modules/settings/src/ObjectReader.cpp
@@ -119,6 +119,20 @@
     return integerIn(*value, range, pathOf(key), m_findings);
 }
 
+std::optional<double> ObjectReader::number(std::string_view key, double minimum, double maximum,
+                                           Presence presence)
+{
+    const json *value = find(key, presence);
+    if (!value)
+        return std::nullopt;
+    if (!value->is_number() || value->get<double>() < minimum || value->get<double>() > maximum) {
+        report(key, "must be a number from " + json(minimum).dump() + " to " + json(maximum).dump()
+                        + ", not " + value->dump());
+        return std::nullopt;
+    }
+    return value->get<double>();
+}
+
 std::optional<bool> ObjectReader::boolean(std::string_view key, Presence presence)
 {
     const json *value = find(key, presence);
--- a/modules/settings/src/ObjectReader.h
+++ b/modules/settings/src/ObjectReader.h
@@ -38,6 +38,9 @@
     std::optional<std::string> string(std::string_view key, Presence presence);
     std::optional<std::int64_t> integer(std::string_view key, const NumberRange &range,
                                         Presence presence);
+    /// A number of at least `minimum` and at most `maximum`, whole or not.
+    std::optional<double> number(std::string_view key, double minimum, double maximum,
+                                 Presence presence);
     std::optional<bool> boolean(std::string_view key, Presence presence);
     /// A name of letters, digits, '.', '_' and '-', of at most 64 bytes.
     std::string name(std::string_view key, Presence presence);
--- a/programs/oleanderwayd.cpp
+++ b/programs/oleanderwayd.cpp
@@ -1,4 +1,6 @@
 #include <oleander/daemon/Daemon.h>
+#include <oleander/daemon/GatewayDaemon.h>
+#include <oleander/platform/Platform.h>
 
 #include <cxxopts.hpp>
 #include <glog/logging.h>
@@ -61,19 +63,41 @@
     return 0;
 }
 
+/// Runs as a gateway on the users' platform, which names the settings file.
+int runOnPlatform()
+{
+    const std::string path = oleander::platform::settingsPath();
+    oleander::Reason reason;
+    auto settings = oleander::loadGatewaySettings(path, reason);
+    if (!settings) {
+        std::cerr << "oleanderwayd: " << path << ": " << reason.text << '\n';
+        return exitUsage;
+    }
+    oleander::GatewayDaemon daemon(std::move(*settings), path, oleander::platform::usersPlatform());
+    if (!daemon.start(reason)) {
+        std::cerr << "oleanderwayd: " << reason.text << '\n';
+        return exitFailure;
+    }
+    daemon.run();
+    return 0;
+}
+
 } // namespace
 
 int main(int count, char **values)
 {
     cxxopts::Options options("oleanderwayd", "One daemon of the oleanderway query tier.");
     options.add_options()("settings", "the daemon's settings file, JSON",
-                          cxxopts::value<std::string>())("help", "prints this");
+                          cxxopts::value<std::string>())(
+        "platform", "run as a gateway on the users' platform")("help", "prints this");
     try {
         const auto arguments = options.parse(count, values);
         if (arguments.count("help") > 0) {
             std::cout << options.help();
             return 0;
         }
+        if (arguments.count("platform") > 0)
+            return runOnPlatform();
         if (arguments.count("settings") == 0) {
             std::cerr << "oleanderwayd: --settings is missing\n";
             return exitUsage;
