Server of an attempt is forgotten when the attempt ends; its connection closes after retirement

A caller left, its server was taken away and freed, and stopping the call 300 ms later reached for the freed server. Change: BackendServer::end clears the attempt's server; a retired server's connection closes with its last reply, so that the server is freed at all.

--- a/modules/gateway/include/oleander/gateway/Attempt.h
+++ b/modules/gateway/include/oleander/gateway/Attempt.h
@@ -50,6 +50,7 @@
     /// whoever no longer wants the result.
     std::function<void(AttemptResult)> whenEnded;
 
+    /// The server that has it, until it has ended.
     BackendServer *server = nullptr;
     bool isSent = false;
     TimePoint sentAt{};
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -274,7 +274,7 @@
 void BackendServer::onReply(Connection &connection, ServerReply reply, bool isReusable)
 {
     const AttemptPtr attempt = connection.takeCurrent();
-    if (!isReusable)
+    if (!isReusable || m_isRetired)
         detach(connection);
     if (attempt) {
         const AttemptEnd how = reply.isNotExecuted || reply.isMisdirected ? AttemptEnd::NotExecuted
@@ -319,6 +319,7 @@
 void BackendServer::end(const AttemptPtr &attempt, AttemptResult result)
 {
     score(*attempt, result);
+    attempt->server = nullptr;
     const auto whenEnded = std::exchange(attempt->whenEnded, nullptr);
     if (whenEnded)
         whenEnded(std::move(result));
--- /dev/null
+++ b/modules/gateway/tests/support/TestGateway.h
@@ -0,0 +1,180 @@
+#pragma once
+
+#include "SimulatedServers.h"
+
+#include <oleander/gateway/Gateway.h>
+
+#include <algorithm>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace oleander::gateway::testing {
+
+using oleander::testing::VirtualTimer;
+
+class TestRandom final : public RandomSource
+{
+public:
+    explicit TestRandom(std::uint64_t seed)
+        : m_engine(seed)
+    {
+    }
+    std::uint64_t next() override { return m_engine(); }
+
+private:
+    std::mt19937_64 m_engine;
+};
+
+/// Keeps the numbers of the events.
+class TestLog final : public EventLog
+{
+public:
+    using EventLog::record;
+    void record(EventId event, const RequestId &, std::string_view) override
+    {
+        events.push_back(event);
+    }
+    void record(EventId event, const RequestId &, Fields) override { events.push_back(event); }
+    [[nodiscard]] std::size_t count(EventId event) const
+    {
+        return static_cast<std::size_t>(std::ranges::count(events, event));
+    }
+
+    std::vector<EventId> events;
+};
+
+/// What a caller got.
+struct Received
+{
+    std::string id;
+    std::string routeName;
+    TimePoint asked{};
+    Duration after{};
+    std::optional<CallerAnswer> answer;
+    std::size_t missing = 0;
+    std::shared_ptr<Call> call;
+};
+
+/// One instance of the gateway in virtual time.
+class TestInstance
+{
+public:
+    TestInstance(VirtualScheduler &scheduler, ServerLinkFactory &links, GatewayPolicy newPolicy,
+                 std::uint64_t seed)
+        : policy(newPolicy)
+        , timer(scheduler)
+        , random(seed)
+        , fleet(links, timer, random, log, policy)
+        , gateway(fleet, timer, random, log, policy,
+                  [](const std::vector<std::string> &receipts, std::size_t missing) {
+                      std::vector<HttpField> fields{{"missing", std::to_string(missing)}};
+                      for (const std::string &receipt : receipts)
+                          fields.push_back({"receipt", receipt});
+                      return fields;
+                  })
+        , m_scheduler(scheduler)
+    {
+    }
+
+    /// Sends a request; the result fills in when the answer is there.
+    std::shared_ptr<Received> ask(const std::string &id, const std::string &path, Duration patience,
+                                  const std::string &method = "GET")
+    {
+        auto received = std::make_shared<Received>();
+        received->id = id;
+        received->routeName = path;
+        received->asked = m_scheduler.now();
+        auto request = std::make_shared<CallerRequest>();
+        request->id = RequestId(id);
+        request->method = method;
+        request->host = "host.example";
+        request->target = path;
+        request->patience = patience;
+        request->arrived = m_scheduler.now();
+        received->call = gateway.handle(std::move(request),
+                                        [received, &scheduler = m_scheduler](CallerAnswer answer) {
+                                            received->after = scheduler.now() - received->asked;
+                                            for (const HttpField &field : answer.fields) {
+                                                if (field.name == "missing")
+                                                    received->missing = std::stoul(field.value);
+                                            }
+                                            received->answer = std::move(answer);
+                                            received->call.reset();
+                                        });
+        return received;
+    }
+
+    GatewayPolicy policy;
+    VirtualTimer timer;
+    TestRandom random;
+    TestLog log;
+    ServerFleet fleet;
+    Gateway gateway;
+
+private:
+    VirtualScheduler &m_scheduler;
+};
+
+/// Address of a server of a service, each with its own.
+inline Address addressOf(int service, int server)
+{
+    return {"10.0." + std::to_string(service) + "." + std::to_string(server + 1), 8080};
+}
+
+inline ServiceId serviceNamed(int service)
+{
+    return ServiceId("service-" + std::to_string(service));
+}
+
+/// Registration of the server at addressOf().
+inline ServerRegistration registrationOf(int service, int server)
+{
+    ServerRegistration registration;
+    registration.id = ServerId("server-" + std::to_string(service) + "-" + std::to_string(server));
+    registration.service = serviceNamed(service);
+    registration.address = addressOf(service, server);
+    registration.slots = 2;
+    registration.startedAt = 1;
+    return registration;
+}
+
+/// A configuration with a gathered route over `shards` services at "/gather/", and a route to one
+/// service more at "/one/" (idempotent) and "/once/" (at most once).
+inline GatewayConfiguration plainConfiguration(int shards, std::uint64_t version = 1)
+{
+    GatewayConfiguration configuration;
+    configuration.version = SectionVersion(version);
+    Route gather;
+    gather.id = RouteId("gather");
+    gather.host = "host.example";
+    gather.prefix = "/gather/";
+    gather.repeatability = Repeatability::Idempotent;
+    gather.timeout = seconds(3);
+    gather.objective = milliseconds(200);
+    gather.maximumAttempts = 2;
+    gather.recordLimit = 20;
+    gather.minimumShare = 0.89;
+    for (int service = 0; service < shards; ++service) {
+        gather.shards.push_back(serviceNamed(service));
+        configuration.services.push_back({serviceNamed(service), 58});
+    }
+    Route one = gather;
+    one.id = RouteId("one");
+    one.prefix = "/one/";
+    one.shards.clear();
+    one.services = {{serviceNamed(shards), 1}};
+    one.objective = milliseconds(800);
+    one.timeout = seconds(15);
+    Route once = one;
+    once.id = RouteId("once");
+    once.prefix = "/once/";
+    once.repeatability = Repeatability::AtMostOnce;
+    configuration.services.push_back({serviceNamed(shards), 58});
+    configuration.routes = {gather, one, once};
+    return configuration;
+}
+
+} // namespace oleander::gateway::testing
