One follower for the whole registry, servers of the own data centre preferred

Change: one watch over all keys each 1.6 s (a change is known within 1.6 s of 3 s allowed); a server of the own data centre is preferred 3 to 1 among equals.

--- a/modules/daemon/include/oleander/daemon/GatewayPlatform.h
+++ b/modules/daemon/include/oleander/daemon/GatewayPlatform.h
@@ -28,8 +28,10 @@
     std::string readinessPath;
     /// Prefix of the keys under which servers register.
     std::string serverPrefix;
-    /// Prefix of the key that holds the configuration.
-    std::string configurationPrefix;
+    /// Key of the item that holds the configuration.
+    std::string configurationKey;
+    /// Prefix of all keys that matter here.
+    std::string registryPrefix;
     std::function<std::unique_ptr<gateway::RegistryReader>(boost::asio::io_context &,
                                                            TimerService &, const Address &)>
         openRegistry;
--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -54,14 +54,6 @@
     return address.number + ":" + std::to_string(address.port);
 }
 
-gateway::FollowPace configurationPace()
-{
-    gateway::FollowPace pace;
-    // Changes are rare, so each is taken at once.
-    pace.leastPeriod = milliseconds(50);
-    return pace;
-}
-
 } // namespace
 
 class GatewayDaemon::Impl
@@ -76,26 +68,18 @@
         , m_random(SeededRandom::unpredictable())
         , m_log(STDOUT_FILENO, m_settings.instance.text(), m_timer)
         , m_links(m_context, m_platform.headers)
-        , m_fleet(m_links, m_timer, m_random, m_log, m_policy)
+        , m_fleet(m_links, m_timer, m_random, m_log, m_policy, m_settings.dataCentre)
         , m_gateway(m_fleet, m_timer, m_random, m_log, m_policy, m_platform.gatheredFields)
         , m_directory(
               [this](const ServerId &server, const gateway::ServerRegistration *registration) {
                   m_fleet.onRegistration(server, registration);
               })
-        , m_registrations(m_platform, m_directory, m_timer, m_log,
-                          lapsedHeartbeats * m_settings.heartbeat)
-        , m_configurations(m_platform, m_log,
-                           [this](gateway::GatewayConfiguration configuration) {
-                               configure(std::move(configuration));
-                           })
-        , m_serverRegistry(m_platform.openRegistry(m_context, m_timer, m_settings.registryAddress))
-        , m_configurationRegistry(
-              m_platform.openRegistry(m_context, m_timer, m_settings.registryAddress))
-        , m_serverFollower(m_platform.serverPrefix, {}, *m_serverRegistry, m_registrations, m_timer,
-                           m_random, m_log)
-        , m_configurationFollower(m_platform.configurationPrefix, configurationPace(),
-                                  *m_configurationRegistry, m_configurations, m_timer, m_random,
-                                  m_log)
+        , m_view(m_platform, m_directory, m_timer, m_log, lapsedHeartbeats * m_settings.heartbeat,
+                 [this](gateway::GatewayConfiguration configuration) {
+                     configure(std::move(configuration));
+                 })
+        , m_registry(m_platform.openRegistry(m_context, m_timer, m_settings.registryAddress))
+        , m_follower(m_platform.registryPrefix, {}, *m_registry, m_view, m_timer, m_random, m_log)
         , m_ingress(m_context, m_timer, m_platform.headers,
                     [this](std::shared_ptr<const gateway::CallerRequest> request,
                            gateway::AnswerCallback answer) {
@@ -119,8 +103,7 @@
             || !m_metrics.listen(addressText(m_settings.metricsAddress), reason))
             return false;
         awaitSignal();
-        m_configurationFollower.start();
-        m_serverFollower.start();
+        m_follower.start();
         m_expiry = m_timer.callEvery(expirePeriod, [this](const TimerTick &tick) {
             m_directory.expire(tick.fired);
             noteReadiness();
@@ -142,7 +125,7 @@
 
     [[nodiscard]] bool isReady() const
     {
-        return !m_isStopping && m_gateway.routes() && m_registrations.isKnown();
+        return !m_isStopping && m_gateway.routes() && m_view.isKnown();
     }
 
     void noteReadiness()
@@ -235,12 +218,9 @@
     gateway::ServerFleet m_fleet;
     gateway::Gateway m_gateway;
     gateway::ServerDirectory m_directory;
-    ServerRegistrations m_registrations;
-    ConfigurationNews m_configurations;
-    std::unique_ptr<gateway::RegistryReader> m_serverRegistry;
-    std::unique_ptr<gateway::RegistryReader> m_configurationRegistry;
-    gateway::RegistryFollower m_serverFollower;
-    gateway::RegistryFollower m_configurationFollower;
+    RegistryView m_view;
+    std::unique_ptr<gateway::RegistryReader> m_registry;
+    gateway::RegistryFollower m_follower;
     CallerIngress m_ingress;
     OperatorServer m_pages;
     OperatorServer m_metrics;
--- a/modules/daemon/src/RegistryView.h
+++ b/modules/daemon/src/RegistryView.h
@@ -7,13 +7,16 @@
 
 namespace oleander {
 
-/// Keeps the directory of servers as the registry has it.
-class ServerRegistrations final : public gateway::RegistryListener
+/// Takes what is read from the registry: keeps the directory of servers, and puts published
+/// configurations in force.
+class RegistryView final : public gateway::RegistryListener
 {
 public:
+    using Apply = std::function<void(gateway::GatewayConfiguration)>;
+
     /// Registrations lapse when the registry has not heard of a server for `lease`.
-    ServerRegistrations(const GatewayPlatform &platform, gateway::ServerDirectory &directory,
-                        TimerService &timer, EventLog &log, Duration lease);
+    RegistryView(const GatewayPlatform &platform, gateway::ServerDirectory &directory,
+                 TimerService &timer, EventLog &log, Duration lease, Apply apply);
 
     void onItems(const std::vector<gateway::RegistryItem> &items) override;
     void onChanges(const std::vector<gateway::RegistryItem> &changes) override;
@@ -23,33 +26,17 @@
     [[nodiscard]] bool isKnown() const { return m_isKnown; }
 
 private:
-    std::optional<gateway::ServerRegistration> read(const gateway::RegistryItem &item);
-    [[nodiscard]] ServerId idOf(const gateway::RegistryItem &item) const;
+    [[nodiscard]] bool isServer(const gateway::RegistryItem &item) const;
+    std::optional<gateway::ServerRegistration> readServer(const gateway::RegistryItem &item);
+    void applyIfConfiguration(const gateway::RegistryItem &item);
 
     const GatewayPlatform &m_platform;
     gateway::ServerDirectory &m_directory;
     TimerService &m_timer;
     EventLog &m_log;
     Duration m_lease;
-    bool m_isKnown = false;
-};
-
-/// Puts published configurations in force.
-class ConfigurationNews final : public gateway::RegistryListener
-{
-public:
-    using Apply = std::function<void(gateway::GatewayConfiguration)>;
-
-    ConfigurationNews(const GatewayPlatform &platform, EventLog &log, Apply apply);
-
-    void onItems(const std::vector<gateway::RegistryItem> &items) override;
-    void onChanges(const std::vector<gateway::RegistryItem> &changes) override;
-    void onReturned(Duration) override {}
-
-private:
-    const GatewayPlatform &m_platform;
-    EventLog &m_log;
     Apply m_apply;
+    bool m_isKnown = false;
 };
 
 } // namespace oleander
--- a/modules/gateway/include/oleander/gateway/RegistryFollower.h
+++ b/modules/gateway/include/oleander/gateway/RegistryFollower.h
@@ -16,9 +16,10 @@
 struct FollowPace
 {
     /// Longest wait of one watch. Bounds how long a silent connection goes unnoticed.
-    Duration watchWait = seconds(3);
-    /// Least time between the starts of two watches, so that frequent changes come in batches.
-    Duration leastPeriod = seconds(1);
+    Duration watchWait = milliseconds(500);
+    /// Least time between the starts of two watches, so that frequent changes come in batches. A
+    /// change is known after this time at the latest, while the registry answers.
+    Duration leastPeriod = milliseconds(1600);
     /// First and longest pause after a failed call.
     Duration firstBackoff = milliseconds(150);
     Duration longestBackoff = milliseconds(1500);
--- a/modules/gateway/include/oleander/gateway/ServerFleet.h
+++ b/modules/gateway/include/oleander/gateway/ServerFleet.h
@@ -27,7 +27,7 @@
 {
 public:
     ServerFleet(ServerLinkFactory &links, TimerService &timer, RandomSource &random, EventLog &log,
-                const GatewayPolicy &policy);
+                const GatewayPolicy &policy, DataCentreId dataCentre);
 
     // News
     /// A registration changed; null when it is gone.
@@ -55,6 +55,7 @@
     ServerContext m_context;
     RandomSource &m_random;
     const GatewayPolicy &m_policy;
+    DataCentreId m_dataCentre;
     std::unordered_map<ServiceId, std::unique_ptr<ServicePool>> m_pools;
     std::unordered_map<ServerId, std::unique_ptr<BackendServer>> m_servers;
     /// Retired servers with work under way.
--- a/modules/gateway/include/oleander/gateway/ServerScore.h
+++ b/modules/gateway/include/oleander/gateway/ServerScore.h
@@ -48,6 +48,8 @@
     int inFlight = 0;
     /// Age of the oldest of them relative to the latency that is usual.
     double oldestAge = 0;
+    /// Stands in the data centre of this instance.
+    bool isNear = false;
 };
 
 /// Preference for a candidate; only ratios between candidates mean something.
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -23,10 +23,11 @@
 }
 
 ServerFleet::ServerFleet(ServerLinkFactory &links, TimerService &timer, RandomSource &random,
-                         EventLog &log, const GatewayPolicy &policy)
+                         EventLog &log, const GatewayPolicy &policy, DataCentreId dataCentre)
     : m_context{links, timer, log, policy}
     , m_random(random)
     , m_policy(policy)
+    , m_dataCentre(std::move(dataCentre))
     , m_tidying(timer.callEvery(tidyPeriod, [this](const TimerTick &) { tidy(); }))
 {
 }
@@ -97,7 +98,8 @@
         const BackendServer &server = *pool.servers[index];
         if (!server.isUsable() || std::ranges::find(excluded, &server) != excluded.end())
             continue;
-        ServerCandidate candidate{index, &server.score(), server.inFlight(), 0};
+        ServerCandidate candidate{index, &server.score(), server.inFlight(), 0,
+                                  server.registration().dataCentre == m_dataCentre};
         const auto oldest = server.oldestSent();
         if (oldest && usualLatency > Duration{}) {
             candidate.oldestAge = static_cast<double>((now - *oldest).count())
--- a/modules/gateway/src/ServerScore.cpp
+++ b/modules/gateway/src/ServerScore.cpp
@@ -18,6 +18,8 @@
 constexpr double stalledAge = 3.0;
 /// Preference for a server that stands still, relative to one that answers.
 constexpr double stalledPreference = 0.02;
+/// Preference for a server in the same data centre, since bytes between data centres cost.
+constexpr double nearPreference = 3.0;
 /// Preference for a server that is avoided.
 constexpr double avoidedPreference = 0.0005;
 /// Preference for a server that has just started.
@@ -101,6 +103,8 @@
     preference /= (1.0 + queue) * (1.0 + queue);
     const double trust = 1.0 - score.failureShare;
     preference *= std::max(smallestTrust, trust * trust * trust);
+    if (candidate.isNear)
+        preference *= nearPreference;
     if (candidate.oldestAge > stalledAge)
         preference *= stalledPreference;
     if (now < score.warmUntil)
--- a/modules/gateway/tests/support/TestGateway.h
+++ b/modules/gateway/tests/support/TestGateway.h
@@ -67,7 +67,7 @@
         : policy(newPolicy)
         , timer(scheduler)
         , random(seed)
-        , fleet(links, timer, random, log, policy)
+        , fleet(links, timer, random, log, policy, DataCentreId("here"))
         , gateway(fleet, timer, random, log, policy,
                   [](const std::vector<std::string> &receipts, std::size_t missing) {
                       std::vector<HttpField> fields{{"missing", std::to_string(missing)}};
