Leftover parts are stopped, parts may come until the deadline, stopped requests show slowness

Change: parts that are out when the answer goes are stopped 60 ms later; servers get the caller's whole deadline; a stopped request's age counts for its server's slowness.

--- a/modules/gateway/include/oleander/gateway/GatewayPolicy.h
+++ b/modules/gateway/include/oleander/gateway/GatewayPolicy.h
@@ -16,8 +16,10 @@
     PerMille hedgeQuantile{900};
     /// Shortest wait before a second sending.
     Duration hedgeMinimum = milliseconds(8);
-    /// Servers give up on parts of a gathered answer after this multiple of the objective.
-    double partDeadlineFactor = 3.0;
+    /// A part is late when it takes longer than this share of the objective.
+    double latePartShare = 0.6;
+    /// Parts that nobody needs any more are stopped after this time; most end before.
+    Duration leftoverDelay = milliseconds(60);
     /// Instances that are assumed to share each server's connections.
     int assumedInstances = 24;
     /// Most connections to one server.
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -152,8 +152,13 @@
         std::ranges::find(m_connections, attempt, [](const auto &connection) -> const AttemptPtr & {
             return connection->current();
         });
-    if (carrying != m_connections.end())
+    if (carrying != m_connections.end()) {
+        // What was stopped would have taken longer still.
+        const TimePoint now = m_context.timer.now();
+        if (now - attempt->sentAt > attempt->usualLatency)
+            noteReply(m_score, now - attempt->sentAt, attempt->usualLatency, now);
         m_connections.erase(carrying);
+    }
     sendWaiting();
 }
 
--- a/modules/gateway/src/CallBase.cpp
+++ b/modules/gateway/src/CallBase.cpp
@@ -69,11 +69,15 @@
         endCall();
         return;
     }
-    m_stopTimer =
-        m_gateway.m_timer.callAfter(m_gateway.m_policy.cancelDelay, [this](const TimerTick &) {
-            stopServers();
-            endCall();
-        });
+    stopServersAfter(m_gateway.m_policy.cancelDelay);
+}
+
+void CallBase::stopServersAfter(Duration delay)
+{
+    m_stopTimer = m_gateway.m_timer.callAfter(delay, [this](const TimerTick &) {
+        stopServers();
+        endCall();
+    });
 }
 
 void CallBase::answer(CallerAnswer answer)
@@ -82,8 +86,12 @@
     if (!callback)
         return;
     leaveServers();
+    m_deadlineTimer.reset();
     callback(std::move(answer));
-    endCall();
+    if (m_route.repeatability == Repeatability::Idempotent && isServerBusy())
+        stopServersAfter(m_gateway.m_policy.leftoverDelay);
+    else
+        endCall();
 }
 
 void CallBase::refuse(std::string_view cause)
--- a/modules/gateway/src/Calls.h
+++ b/modules/gateway/src/Calls.h
@@ -2,6 +2,7 @@
 
 #include <oleander/gateway/Gateway.h>
 #include <oleander/gateway/ServiceCall.h>
+#include <oleander/gateway/ShardPressure.h>
 
 #include <vector>
 
@@ -13,6 +14,7 @@
     std::shared_ptr<LatencyWindow> latencies = std::make_shared<LatencyWindow>();
     /// Position in the cycle that spreads requests over weighted services.
     std::vector<double> weightCredits;
+    std::unordered_map<ServiceId, ShardPressure> pressures;
 };
 
 /// What calls of both kinds share: their deadline, the one answer, and what happens when the caller
@@ -35,6 +37,8 @@
     /// Answered, or the caller left: nothing more is to be sent.
     virtual void leaveServers() = 0;
     virtual void stopServers() = 0;
+    /// A server still works on a request that nobody waits for.
+    [[nodiscard]] virtual bool isServerBusy() const = 0;
 
     // Answering
     void answer(CallerAnswer answer);
@@ -57,6 +61,7 @@
 
 private:
     void endCall();
+    void stopServersAfter(Duration delay);
 
     AnswerCallback m_answer;
     Subscription m_deadlineTimer;
@@ -75,6 +80,7 @@
     void onDeadline() override;
     void leaveServers() override;
     void stopServers() override;
+    [[nodiscard]] bool isServerBusy() const override;
 
 private:
     [[nodiscard]] const ServiceId &chooseService();
@@ -94,23 +100,40 @@
     void onDeadline() override;
     void leaveServers() override;
     void stopServers() override;
+    [[nodiscard]] bool isServerBusy() const override;
 
 private:
     void onOutcome(std::size_t shard, ServiceOutcome outcome);
     /// From now on the parts that are in make an answer, when they are enough.
-    void onObjectiveClose(TimePoint partDeadline);
+    void onObjectiveClose();
     /// Answers, fails, or waits on.
     void decide();
     void answerWithParts();
     void giveUp();
+    /// Shards that this request leaves out from the start, since they would answer too late.
+    [[nodiscard]] std::vector<bool> skippedShards();
+    void askShard(std::size_t shard);
+    /// Counts for each shard that was asked and not counted yet that its part has not come.
+    void noteLateParts();
     [[nodiscard]] RanState ranState() const;
 
-    std::vector<std::shared_ptr<ServiceCall>> m_calls;
+    /// What happens with one shard.
+    struct Shard
+    {
+        /// Null when the shard is left out.
+        std::shared_ptr<ServiceCall> call;
+        ShardPressure *pressure = nullptr;
+        /// Its part was counted as soon or late.
+        bool isNoted = false;
+    };
+
+    std::vector<Shard> m_shards;
     std::vector<ServerReply> m_parts;
     std::size_t m_openShards = 0;
     bool m_isObjectiveClose = false;
     bool m_anyRan = false;
     Subscription m_objectiveTimer;
+    Subscription m_pressureTimer;
 };
 
 } // namespace oleander::gateway
--- a/modules/gateway/src/ForwardCall.cpp
+++ b/modules/gateway/src/ForwardCall.cpp
@@ -108,4 +108,9 @@
         m_call->stopRunning();
 }
 
+bool ForwardCall::isServerBusy() const
+{
+    return m_call && m_call->isRunning();
+}
+
 } // namespace oleander::gateway
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -54,8 +54,9 @@
 
 bool ServiceCall::isRunning() const
 {
-    return std::ranges::any_of(m_running,
-                               [](const AttemptPtr &attempt) { return attempt->isSent; });
+    return std::ranges::any_of(m_running, [](const AttemptPtr &attempt) {
+        return attempt->isSent && attempt->server != nullptr;
+    });
 }
 
 RanState ServiceCall::ranState() const
