A call that no server can take waits and tries again; no more servers execute than allowed

Change: ServiceCall waits 25 to 200 ms and tries again, inside the budget, until the deadline (gathered) or the objective (one server); an attempt still waiting here moves to another server free of charge; the limit of attempts counts servers that may have executed the request. The inert ShardPressure is removed.

--- a/modules/gateway/include/oleander/gateway/GatewayPolicy.h
+++ b/modules/gateway/include/oleander/gateway/GatewayPolicy.h
@@ -16,10 +16,12 @@
     PerMille hedgeQuantile{900};
     /// Shortest wait before a second sending.
     Duration hedgeMinimum = milliseconds(8);
-    /// A part is late when it takes longer than this share of the objective.
-    double latePartShare = 0.6;
     /// Parts that nobody needs any more are stopped after this time; most end before.
     Duration leftoverDelay = milliseconds(60);
+    /// Wait before an idempotent or unexecuted request that no server could take is tried again;
+    /// doubles up to the longest.
+    Duration firstRetryWait = milliseconds(25);
+    Duration longestRetryWait = milliseconds(200);
     /// Instances that are assumed to share each server's connections.
     int assumedInstances = 24;
     /// Most connections to one server.
--- a/modules/gateway/include/oleander/gateway/ServerFleet.h
+++ b/modules/gateway/include/oleander/gateway/ServerFleet.h
@@ -44,6 +44,7 @@
     [[nodiscard]] std::size_t connections() const;
     /// Takes one extra sending to the service from its budget.
     bool takeExtra(ServicePool &pool);
+    [[nodiscard]] std::uint64_t drawRandom() { return m_random.next(); }
     void earnExtra(ServicePool &pool) { gateway::earnExtra(pool.extras, m_policy.extras); }
 
 private:
--- a/modules/gateway/include/oleander/gateway/ServiceCall.h
+++ b/modules/gateway/include/oleander/gateway/ServiceCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <oleander/core/ErrorKind.h>
+#include <oleander/decisions/control/Backoff.h>
 #include <oleander/gateway/ServerFleet.h>
 
 #include <functional>
@@ -20,6 +21,9 @@
     int maximumAttempts = 1;
     /// Servers give up then, and nothing is sent any more.
     TimePoint deadline{};
+    /// When no server can take the request, it is tried again until then.
+    TimePoint lastRetry{};
+    BackoffRules retryWaits;
     /// Wait before a request that has no reply is sent to a second server.
     Duration hedgeDelay{};
     /// Latency that is usual, and where new ones are counted.
@@ -38,7 +42,10 @@
 
 /// Brings one request to one server of a service, and to further ones where that is allowed:
 /// after a proof that it was not executed, after a failure of an idempotent request, and when an
-/// idempotent request takes unusually long. Further sendings are paid from the service's budget.
+/// idempotent request takes unusually long. Further sendings are paid from the service's budget;
+/// when there is none left, or no server, the call waits and tries again.
+///
+/// No more servers than `maximumAttempts` may execute the request.
 class ServiceCall : public std::enable_shared_from_this<ServiceCall>
 {
 public:
@@ -65,14 +72,18 @@
     [[nodiscard]] int attempts() const { return m_sentCount; }
 
 private:
-    bool sendNext(bool isExtra);
+    bool sendNext(bool isAnyAgain);
     void sendTo(BackendServer &server);
     void hedge();
     void armHedge();
-    void onEnded(const AttemptPtr &attempt, AttemptResult result);
+    void onEnded(const AttemptPtr &attempt, BackendServer *server, AttemptResult result);
     void onReplied(AttemptResult result);
-    void retryOrFinish(bool wasSent);
+    void retryOrFinish();
+    void retryLater();
     [[nodiscard]] bool mayStillSend() const;
+    /// Servers that are not to get the request: those that have it, and, when as many as may have
+    /// possibly executed it, all others but these.
+    [[nodiscard]] std::vector<BackendServer *> excludedServers(bool isAnyAgain) const;
     void finish();
     void finishWith(ServiceOutcome outcome);
 
@@ -82,11 +93,15 @@
     Callback m_done;
     std::vector<AttemptPtr> m_running;
     std::vector<BackendServer *> m_tried;
+    /// Servers that may have executed the request.
+    std::vector<BackendServer *> m_executors;
+    int m_retries = 0;
     std::optional<ServerReply> m_failure;
     int m_sentCount = 0;
     bool m_wasSent = false;
     bool m_maybeRan = false;
     Subscription m_hedge;
+    Subscription m_retry;
 };
 
 } // namespace oleander::gateway
--- a/modules/gateway/src/CallBase.cpp
+++ b/modules/gateway/src/CallBase.cpp
@@ -117,7 +117,8 @@
     answer({status, {}, std::string(cause) + "\n"});
 }
 
-ServiceCallPlan CallBase::planFor(const ServiceId &service, TimePoint deadline) const
+ServiceCallPlan CallBase::planFor(const ServiceId &service, TimePoint deadline,
+                                  TimePoint lastRetry) const
 {
     const GatewayPolicy &policy = m_gateway.m_policy;
     // Before there are samples, a share of the objective stands for what is usual.
@@ -130,6 +131,8 @@
     plan.priority = m_route.priority;
     plan.maximumAttempts = m_route.maximumAttempts;
     plan.deadline = deadline;
+    plan.lastRetry = lastRetry;
+    plan.retryWaits = {policy.firstRetryWait, policy.longestRetryWait};
     plan.usualLatency = m_latencies->mean(assumed);
     plan.hedgeDelay =
         std::max(policy.hedgeMinimum, m_latencies->quantile(policy.hedgeQuantile, assumed));
--- a/modules/gateway/src/Calls.h
+++ b/modules/gateway/src/Calls.h
@@ -2,7 +2,6 @@
 
 #include <oleander/gateway/Gateway.h>
 #include <oleander/gateway/ServiceCall.h>
-#include <oleander/gateway/ShardPressure.h>
 
 #include <vector>
 
@@ -14,7 +13,6 @@
     std::shared_ptr<LatencyWindow> latencies = std::make_shared<LatencyWindow>();
     /// Position in the cycle that spreads requests over weighted services.
     std::vector<double> weightCredits;
-    std::unordered_map<ServiceId, ShardPressure> pressures;
 };
 
 /// What calls of both kinds share: their deadline, the one answer, and what happens when the caller
@@ -48,7 +46,8 @@
     void fail(int status, std::string_view cause);
     [[nodiscard]] bool isAnswered() const { return !m_answer; }
 
-    [[nodiscard]] ServiceCallPlan planFor(const ServiceId &service, TimePoint deadline) const;
+    [[nodiscard]] ServiceCallPlan planFor(const ServiceId &service, TimePoint deadline,
+                                          TimePoint lastRetry) const;
     void record(EventId event, EventLog::Fields fields) const;
     [[nodiscard]] Duration age() const;
 
@@ -110,30 +109,15 @@
     void decide();
     void answerWithParts();
     void giveUp();
-    /// Shards that this request leaves out from the start, since they would answer too late.
-    [[nodiscard]] std::vector<bool> skippedShards();
-    void askShard(std::size_t shard);
-    /// Counts for each shard that was asked and not counted yet that its part has not come.
-    void noteLateParts();
     [[nodiscard]] RanState ranState() const;
 
-    /// What happens with one shard.
-    struct Shard
-    {
-        /// Null when the shard is left out.
-        std::shared_ptr<ServiceCall> call;
-        ShardPressure *pressure = nullptr;
-        /// Its part was counted as soon or late.
-        bool isNoted = false;
-    };
-
-    std::vector<Shard> m_shards;
+    /// One for each shard of the route.
+    std::vector<std::shared_ptr<ServiceCall>> m_calls;
     std::vector<ServerReply> m_parts;
     std::size_t m_openShards = 0;
     bool m_isObjectiveClose = false;
     bool m_anyRan = false;
     Subscription m_objectiveTimer;
-    Subscription m_pressureTimer;
 };
 
 } // namespace oleander::gateway
--- a/modules/gateway/src/ForwardCall.cpp
+++ b/modules/gateway/src/ForwardCall.cpp
@@ -16,7 +16,8 @@
 void ForwardCall::begin()
 {
     const ServiceId &service = chooseService();
-    const ServiceCallPlan plan = planFor(service, m_deadline);
+    const ServiceCallPlan plan =
+        planFor(service, m_deadline, std::min(m_deadline, m_request->arrived + m_route.objective));
     if (!plan.pool->hasUsableServer()) {
         m_gateway.m_timer.post([self = weak_from_this()] {
             if (const auto call = std::static_pointer_cast<ForwardCall>(self.lock()))
--- a/modules/gateway/src/GatherCall.cpp
+++ b/modules/gateway/src/GatherCall.cpp
@@ -32,58 +32,19 @@
         });
         return;
     }
-    m_parts.reserve(m_route.shards.size());
-    m_shards.resize(m_route.shards.size());
-    const std::vector<bool> skipped = skippedShards();
-    m_openShards = static_cast<std::size_t>(std::ranges::count(skipped, false));
-    for (std::size_t shard = 0; shard < m_shards.size(); ++shard) {
-        if (!skipped[shard])
-            askShard(shard);
+    m_openShards = m_route.shards.size();
+    m_parts.reserve(m_openShards);
+    for (std::size_t shard = 0; shard < m_route.shards.size(); ++shard) {
+        m_calls.push_back(
+            std::make_shared<ServiceCall>(m_gateway.m_fleet, m_gateway.m_timer,
+                                          planFor(m_route.shards[shard], m_deadline, m_deadline)));
+        m_calls.back()->start(
+            [this, shard](ServiceOutcome outcome) { onOutcome(shard, std::move(outcome)); });
     }
-    const GatewayPolicy &policy = m_gateway.m_policy;
-    const Duration untilClose =
-        m_request->arrived + m_route.objective - policy.answerMargin - m_gateway.m_timer.now();
+    const Duration untilClose = m_request->arrived + m_route.objective
+                                - m_gateway.m_policy.answerMargin - m_gateway.m_timer.now();
     m_objectiveTimer = m_gateway.m_timer.callAfter(
         std::max(Duration{}, untilClose), [this](const TimerTick &) { onObjectiveClose(); });
-    const auto untilLate =
-        std::chrono::duration_cast<Duration>(m_route.objective * policy.latePartShare);
-    m_pressureTimer =
-        m_gateway.m_timer.callAfter(untilLate, [this](const TimerTick &) { noteLateParts(); });
-}
-
-std::vector<bool> GatherCall::skippedShards()
-{
-    auto &pressures = m_gateway.stateOf(m_route.id).pressures;
-    std::vector<double> shares;
-    std::vector<double> randoms;
-    for (std::size_t shard = 0; shard < m_shards.size(); ++shard) {
-        m_shards[shard].pressure = &pressures[m_route.shards[shard]];
-        shares.push_back(m_shards[shard].pressure->skipShare);
-        constexpr double randomRange = 1'000'000;
-        randoms.push_back(static_cast<double>(m_gateway.m_random.below(1'000'000)) / randomRange);
-    }
-    std::vector<bool> isSkipped(m_shards.size(), false);
-    const std::size_t allowed = m_shards.size() - requiredShards(m_route);
-    for (const std::size_t shard : chooseSkipped(shares, randoms, allowed))
-        isSkipped[shard] = true;
-    return isSkipped;
-}
-
-void GatherCall::askShard(std::size_t shard)
-{
-    m_shards[shard].call = std::make_shared<ServiceCall>(
-        m_gateway.m_fleet, m_gateway.m_timer, planFor(m_route.shards[shard], m_deadline));
-    m_shards[shard].call->start(
-        [this, shard](ServiceOutcome outcome) { onOutcome(shard, std::move(outcome)); });
-}
-
-void GatherCall::noteLateParts()
-{
-    for (Shard &shard : m_shards) {
-        if (shard.call && !shard.isNoted)
-            notePart(*shard.pressure, false);
-        shard.isNoted = true;
-    }
 }
 
 void GatherCall::onObjectiveClose()
@@ -96,16 +57,12 @@
 {
     --m_openShards;
     m_anyRan = m_anyRan || outcome.ran != RanState::NotRun;
-    Shard &asked = m_shards[shard];
-    if (!asked.isNoted)
-        notePart(*asked.pressure, isPart(outcome));
-    asked.isNoted = true;
     if (isPart(outcome)) {
         m_parts.push_back(std::move(*outcome.reply));
     } else {
         record(EventId::ShardMissing, {{"service", m_route.shards[shard].text()},
                                        {"status", outcome.reply ? outcome.reply->status : 0},
-                                       {"attempts", asked.call->attempts()},
+                                       {"attempts", m_calls[shard]->attempts()},
                                        {"afterMs", inMilliseconds(age())}});
     }
     decide();
@@ -132,8 +89,8 @@
         receipts.push_back(part.receipt);
     }
     int attempts = 0;
-    for (const Shard &shard : m_shards)
-        attempts += shard.call ? shard.call->attempts() : 0;
+    for (const auto &call : m_calls)
+        attempts += call->attempts();
     ++m_gateway.m_counts.answered;
     m_gateway.m_counts.partial += missing > 0 ? 1 : 0;
     record(missing > 0 ? EventId::QueryPartial : EventId::QueryAnswered,
@@ -150,9 +107,8 @@
 
 RanState GatherCall::ranState() const
 {
-    const bool anyRunning = std::ranges::any_of(m_shards, [](const Shard &shard) {
-        return shard.call && shard.call->ranState() != RanState::NotRun;
-    });
+    const bool anyRunning = std::ranges::any_of(
+        m_calls, [](const auto &call) { return call->ranState() != RanState::NotRun; });
     return m_anyRan || anyRunning ? RanState::MaybeRan : RanState::NotRun;
 }
 
@@ -177,25 +133,19 @@
 void GatherCall::leaveServers()
 {
     m_objectiveTimer.reset();
-    m_pressureTimer.reset();
-    for (const Shard &shard : m_shards) {
-        if (shard.call)
-            shard.call->leave();
-    }
+    for (const auto &call : m_calls)
+        call->leave();
 }
 
 void GatherCall::stopServers()
 {
-    for (const Shard &shard : m_shards) {
-        if (shard.call)
-            shard.call->stopRunning();
-    }
+    for (const auto &call : m_calls)
+        call->stopRunning();
 }
 
 bool GatherCall::isServerBusy() const
 {
-    return std::ranges::any_of(
-        m_shards, [](const Shard &shard) { return shard.call && shard.call->isRunning(); });
+    return std::ranges::any_of(m_calls, [](const auto &call) { return call->isRunning(); });
 }
 
 } // namespace oleander::gateway
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -26,19 +26,21 @@
 void ServiceCall::start(Callback done)
 {
     m_done = std::move(done);
-    if (sendNext(false))
+    if (sendNext(false)) {
         armHedge();
-    else
-        m_timer.post([self = weak_from_this()] {
-            if (const auto call = self.lock())
-                call->finish();
-        });
+        return;
+    }
+    m_timer.post([self = weak_from_this()] {
+        if (const auto call = self.lock())
+            call->retryLater();
+    });
 }
 
 void ServiceCall::leave()
 {
     m_done = nullptr;
     m_hedge.reset();
+    m_retry.reset();
     for (const AttemptPtr &attempt : m_running)
         attempt->whenEnded = nullptr;
 }
@@ -71,13 +73,37 @@
     return m_done && m_timer.now() < m_plan.deadline;
 }
 
-bool ServiceCall::sendNext(bool isExtra)
+std::vector<BackendServer *> ServiceCall::excludedServers(bool isAnyAgain) const
+{
+    std::vector<BackendServer *> possible = m_executors;
+    std::vector<BackendServer *> excluded;
+    for (const AttemptPtr &attempt : m_running) {
+        if (!attempt->server)
+            continue;
+        excluded.push_back(attempt->server);
+        if (std::ranges::find(possible, attempt->server) == possible.end())
+            possible.push_back(attempt->server);
+    }
+    if (static_cast<int>(possible.size()) >= m_plan.maximumAttempts) {
+        std::ranges::copy_if(m_plan.pool->servers, std::back_inserter(excluded),
+                             [this](BackendServer *server) {
+                                 return std::ranges::find(m_executors, server) == m_executors.end();
+                             });
+    }
+    if (!isAnyAgain)
+        std::ranges::copy(m_tried, std::back_inserter(excluded));
+    return excluded;
+}
+
+bool ServiceCall::sendNext(bool isAnyAgain)
 {
     if (!mayStillSend())
         return false;
-    BackendServer *server = m_fleet.choose(*m_plan.pool, m_tried, m_plan.usualLatency);
+    BackendServer *server =
+        m_fleet.choose(*m_plan.pool, excludedServers(isAnyAgain), m_plan.usualLatency);
     if (!server)
         return false;
+    const bool isExtra = m_wasSent || !m_running.empty();
     if (isExtra && !m_fleet.takeExtra(*m_plan.pool))
         return false;
     sendTo(*server);
@@ -94,13 +120,14 @@
     attempt->lastSend = m_plan.deadline;
     attempt->usualLatency = m_plan.usualLatency;
     attempt->latencies = m_plan.latencies;
-    attempt->whenEnded = [self = weak_from_this(), raw = attempt.get()](AttemptResult result) {
+    attempt->whenEnded = [self = weak_from_this(), raw = attempt.get(),
+                          &server](AttemptResult result) {
         const auto call = self.lock();
         if (!call)
             return;
         const auto found = std::ranges::find(call->m_running, raw, &AttemptPtr::get);
         if (found != call->m_running.end())
-            call->onEnded(*found, std::move(result));
+            call->onEnded(*found, &server, std::move(result));
     };
     if (m_sentCount++ == 0)
         m_fleet.earnExtra(*m_plan.pool);
@@ -118,32 +145,41 @@
 
 void ServiceCall::hedge()
 {
-    if (!m_done || m_running.size() != 1 || m_sentCount >= m_plan.maximumAttempts)
+    if (!m_done || m_running.size() != 1)
         return;
     const AttemptPtr waiting = m_running.front();
-    sendNext(waiting->isSent);
+    if (waiting->isSent) {
+        sendNext(false);
+        return;
+    }
+    // Still in this instance: it moves to another server, and costs nothing more.
+    if (!m_fleet.choose(*m_plan.pool, excludedServers(false), m_plan.usualLatency))
+        return;
+    m_running.clear();
+    waiting->server->stop(waiting);
+    sendNext(false);
 }
 
-void ServiceCall::onEnded(const AttemptPtr &ended, AttemptResult result)
+void ServiceCall::onEnded(const AttemptPtr &ended, BackendServer *server, AttemptResult result)
 {
     const AttemptPtr attempt = ended;
     std::erase(m_running, attempt);
     m_wasSent = m_wasSent || attempt->isSent;
+    const bool mayHaveRun = result.end == AttemptEnd::Replied || result.end == AttemptEnd::Lost;
+    if (mayHaveRun && std::ranges::find(m_executors, server) == m_executors.end())
+        m_executors.push_back(server);
     switch (result.end) {
     case AttemptEnd::Replied:
         onReplied(std::move(result));
         return;
     case AttemptEnd::NotSent:
-        --m_sentCount;
-        retryOrFinish(false);
-        return;
     case AttemptEnd::NotExecuted:
-        retryOrFinish(true);
+        retryOrFinish();
         return;
     case AttemptEnd::Lost:
         m_maybeRan = true;
         if (m_plan.repeatability == Repeatability::Idempotent)
-            retryOrFinish(true);
+            retryOrFinish();
         else
             finish();
         return;
@@ -158,17 +194,28 @@
         return;
     }
     m_failure = std::move(result.reply);
-    retryOrFinish(true);
+    retryOrFinish();
 }
 
-void ServiceCall::retryOrFinish(bool wasSent)
+void ServiceCall::retryOrFinish()
+{
+    if (m_done && !sendNext(false) && m_running.empty())
+        retryLater();
+}
+
+void ServiceCall::retryLater()
 {
     if (!m_done)
         return;
-    if (m_sentCount < m_plan.maximumAttempts && sendNext(wasSent))
-        return;
-    if (m_running.empty())
+    const Duration wait = backoffDelay(++m_retries, m_plan.retryWaits, m_fleet.drawRandom());
+    if (!m_plan.pool->hasUsableServer() || m_timer.now() + wait > m_plan.lastRetry) {
         finish();
+        return;
+    }
+    m_retry = m_timer.callAfter(wait, [this](const TimerTick &) {
+        if (!sendNext(true) && m_running.empty())
+            retryLater();
+    });
 }
 
 void ServiceCall::finish()
