A hedge is looked at again while one request is out

Cause: a retry that went to a silent server was not hedged, and waited for the deadline. Change: the hedge timer is set again for each sending. Conclusion: kept, since nothing else notices a silent server after a retry.

--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -147,9 +147,10 @@
 {
     if (!m_done || m_running.size() != 1)
         return;
+    armHedge();
     const AttemptPtr waiting = m_running.front();
     if (waiting->isSent) {
-        sendNext(false);
+        sendNext(m_retries > 0);
         return;
     }
     // Still in this instance: it moves to another server, and costs nothing more.
@@ -213,7 +214,9 @@
         return;
     }
     m_retry = m_timer.callAfter(wait, [this](const TimerTick &) {
-        if (!sendNext(true) && m_running.empty())
+        if (sendNext(true))
+            armHedge();
+        else if (m_running.empty())
             retryLater();
     });
 }
