Leftovers and slower hedges are stopped at once, hedges have a share of their own

Change: leftovers are stopped after 5 ms instead of 60, the slower of two sendings as soon as the other has answered; hedges may use 0.10 of extra sendings a request, the rest is kept for retries.

--- a/modules/gateway/include/oleander/gateway/ExtraBudget.h
+++ b/modules/gateway/include/oleander/gateway/ExtraBudget.h
@@ -15,11 +15,15 @@
     /// Extra sendings in a window that need not be earned. Of one instance, hence small.
     double allowance = 1.0;
     Duration window = seconds(10);
+    /// Of the extra sendings, those that are hedges may be earned at this rate. The rest is kept
+    /// for requests that have failed, which cannot be served otherwise.
+    double hedgeShare = 0.10;
 };
 
 struct ExtraBudget
 {
     double credit = 0;
+    double hedgeCredit = 0;
     TimePoint refilled{};
 };
 
@@ -29,7 +33,15 @@
 /// A request was sent for the first time.
 void earnExtra(ExtraBudget &budget, const ExtraBudgetRules &rules);
 
+/// What an extra sending is for.
+enum class ExtraKind {
+    /// The former sending has failed.
+    Retry,
+    /// The former sending is still out.
+    Hedge,
+};
+
 /// Takes one extra sending if there is one left.
-bool takeExtra(ExtraBudget &budget, const ExtraBudgetRules &rules, TimePoint now);
+bool takeExtra(ExtraBudget &budget, const ExtraBudgetRules &rules, ExtraKind kind, TimePoint now);
 
 } // namespace oleander::gateway
--- a/modules/gateway/include/oleander/gateway/GatewayPolicy.h
+++ b/modules/gateway/include/oleander/gateway/GatewayPolicy.h
@@ -16,8 +16,9 @@
     PerMille hedgeQuantile{900};
     /// Shortest wait before a second sending.
     Duration hedgeMinimum = milliseconds(8);
-    /// Parts that nobody needs any more are stopped after this time; most end before.
-    Duration leftoverDelay = milliseconds(60);
+    /// Parts that nobody needs any more are stopped after this time; those that are about to end
+    /// keep their connection.
+    Duration leftoverDelay = milliseconds(5);
     /// Wait before an idempotent or unexecuted request that no server could take is tried again;
     /// doubles up to the longest.
     Duration firstRetryWait = milliseconds(25);
--- a/modules/gateway/include/oleander/gateway/ServerFleet.h
+++ b/modules/gateway/include/oleander/gateway/ServerFleet.h
@@ -43,7 +43,7 @@
                           Duration usualLatency);
     [[nodiscard]] std::size_t connections() const;
     /// Takes one extra sending to the service from its budget.
-    bool takeExtra(ServicePool &pool);
+    bool takeExtra(ServicePool &pool, ExtraKind kind);
     [[nodiscard]] std::uint64_t drawRandom() { return m_random.next(); }
     void earnExtra(ServicePool &pool) { gateway::earnExtra(pool.extras, m_policy.extras); }
 
--- a/modules/gateway/src/Calls.h
+++ b/modules/gateway/src/Calls.h
@@ -102,6 +102,7 @@
     [[nodiscard]] bool isServerBusy() const override;
 
 private:
+    void askShard(std::size_t shard);
     void onOutcome(std::size_t shard, ServiceOutcome outcome);
     /// From now on the parts that are in make an answer, when they are enough.
     void onObjectiveClose();
--- a/modules/gateway/src/ExtraBudget.cpp
+++ b/modules/gateway/src/ExtraBudget.cpp
@@ -17,26 +17,30 @@
 
 ExtraBudget freshBudget(const ExtraBudgetRules &rules, TimePoint now)
 {
-    return {mostCredit(rules), now};
+    return {mostCredit(rules), 1.0, now};
 }
 
 void earnExtra(ExtraBudget &budget, const ExtraBudgetRules &rules)
 {
     // What is earned may be spent a little later than the request that earned it.
     constexpr double earnedReserve = 2.0;
+    constexpr double mostHedges = 3.0;
+    budget.hedgeCredit = std::min(budget.hedgeCredit + rules.hedgeShare, mostHedges);
     budget.credit = std::min(budget.credit + rules.share, mostCredit(rules) + earnedReserve);
 }
 
-bool takeExtra(ExtraBudget &budget, const ExtraBudgetRules &rules, TimePoint now)
+bool takeExtra(ExtraBudget &budget, const ExtraBudgetRules &rules, ExtraKind kind, TimePoint now)
 {
     const auto passed = static_cast<double>((now - budget.refilled).count());
     const double refill = rules.allowance * passed / static_cast<double>(rules.window.count());
     budget.refilled = now;
     if (budget.credit < mostCredit(rules))
         budget.credit = std::min(budget.credit + refill, mostCredit(rules));
-    if (budget.credit < 1.0)
+    if (budget.credit < 1.0 || (kind == ExtraKind::Hedge && budget.hedgeCredit < 1.0))
         return false;
     budget.credit -= 1.0;
+    if (kind == ExtraKind::Hedge)
+        budget.hedgeCredit -= 1.0;
     return true;
 }
 
--- a/modules/gateway/src/GatherCall.cpp
+++ b/modules/gateway/src/GatherCall.cpp
@@ -32,21 +32,26 @@
         });
         return;
     }
+    m_parts.reserve(m_route.shards.size());
+    m_calls.resize(m_route.shards.size());
     m_openShards = m_route.shards.size();
-    m_parts.reserve(m_openShards);
-    for (std::size_t shard = 0; shard < m_route.shards.size(); ++shard) {
-        m_calls.push_back(
-            std::make_shared<ServiceCall>(m_gateway.m_fleet, m_gateway.m_timer,
-                                          planFor(m_route.shards[shard], m_deadline, m_deadline)));
-        m_calls.back()->start(
-            [this, shard](ServiceOutcome outcome) { onOutcome(shard, std::move(outcome)); });
-    }
+    for (std::size_t shard = 0; shard < m_route.shards.size(); ++shard)
+        askShard(shard);
     const Duration untilClose = m_request->arrived + m_route.objective
                                 - m_gateway.m_policy.answerMargin - m_gateway.m_timer.now();
     m_objectiveTimer = m_gateway.m_timer.callAfter(
         std::max(Duration{}, untilClose), [this](const TimerTick &) { onObjectiveClose(); });
 }
 
+void GatherCall::askShard(std::size_t shard)
+{
+    m_calls[shard] =
+        std::make_shared<ServiceCall>(m_gateway.m_fleet, m_gateway.m_timer,
+                                      planFor(m_route.shards[shard], m_deadline, m_deadline));
+    m_calls[shard]->start(
+        [this, shard](ServiceOutcome outcome) { onOutcome(shard, std::move(outcome)); });
+}
+
 void GatherCall::onObjectiveClose()
 {
     m_isObjectiveClose = true;
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -119,9 +119,9 @@
     return count;
 }
 
-bool ServerFleet::takeExtra(ServicePool &pool)
+bool ServerFleet::takeExtra(ServicePool &pool, ExtraKind kind)
 {
-    return gateway::takeExtra(pool.extras, m_policy.extras, m_context.timer.now());
+    return gateway::takeExtra(pool.extras, m_policy.extras, kind, m_context.timer.now());
 }
 
 void ServerFleet::tidy()
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -104,7 +104,8 @@
     if (!server)
         return false;
     const bool isExtra = m_wasSent || !m_running.empty();
-    if (isExtra && !m_fleet.takeExtra(*m_plan.pool))
+    const ExtraKind kind = m_running.empty() ? ExtraKind::Retry : ExtraKind::Hedge;
+    if (isExtra && !m_fleet.takeExtra(*m_plan.pool, kind))
         return false;
     sendTo(*server);
     return true;
@@ -233,6 +234,9 @@
 {
     const auto done = std::exchange(m_done, nullptr);
     leave();
+    // The slower of two sendings only keeps its server from other work.
+    if (m_plan.repeatability == Repeatability::Idempotent)
+        stopRunning();
     if (done)
         done(std::move(outcome));
 }
