Hedges go only to servers with room

Change: a hedge goes only to a server that has nothing of this instance and reports a queue of at most half a request a slot; the share is 0.17 again.

--- a/modules/gateway/include/oleander/gateway/ExtraBudget.h
+++ b/modules/gateway/include/oleander/gateway/ExtraBudget.h
@@ -17,7 +17,7 @@
     Duration window = seconds(10);
     /// Of the extra sendings, those that are hedges may be earned at this rate. The rest is kept
     /// for requests that have failed, which cannot be served otherwise.
-    double hedgeShare = 0.10;
+    double hedgeShare = 0.17;
 };
 
 struct ExtraBudget
--- a/modules/gateway/include/oleander/gateway/ServerScore.h
+++ b/modules/gateway/include/oleander/gateway/ServerScore.h
@@ -55,6 +55,9 @@
 /// Preference for a candidate; only ratios between candidates mean something.
 [[nodiscard]] double preferenceFor(const ServerCandidate &candidate, TimePoint now);
 
+/// Waiting requests per slot by the server's last report, fading with its age.
+[[nodiscard]] double reportedQueue(const ServerScore &score, TimePoint now);
+
 /// Chooses at random in proportion to the preferences, so that instances that know the same do not
 /// all go to the same server. Nothing when there is no candidate.
 [[nodiscard]] std::optional<std::size_t> chooseServer(std::span<const ServerCandidate> candidates,
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -105,6 +105,13 @@
     return !m_isRetired && !m_isMisplaced && !m_registration.isDraining;
 }
 
+bool BackendServer::hasRoom() const
+{
+    // Reports are a little old, so a short queue by the report is none by now.
+    constexpr double shortQueue = 0.5;
+    return inFlight() == 0 && reportedQueue(m_score, m_context.timer.now()) <= shortQueue;
+}
+
 void BackendServer::update(ServerRegistration registration)
 {
     const bool isRestarted = registration.startedAt != m_registration.startedAt
--- a/modules/gateway/src/ServerScore.cpp
+++ b/modules/gateway/src/ServerScore.cpp
@@ -38,17 +38,6 @@
     return average + sampleWeight * (sample - average);
 }
 
-/// Waiting requests per slot by the server's last report, fading with its age.
-double reportedQueue(const ServerScore &score, TimePoint now)
-{
-    if (!score.load || now - score.loadSeen > loadLife || score.load->slots <= 0)
-        return 0;
-    const double freshness = 1.0
-                             - static_cast<double>((now - score.loadSeen).count())
-                                   / static_cast<double>(loadLife.count());
-    return freshness * score.load->waiting / score.load->slots;
-}
-
 } // namespace
 
 void noteReply(ServerScore &score, Duration latency, Duration usual, TimePoint now)
@@ -95,6 +84,16 @@
     score.avoidUntil = {};
 }
 
+double reportedQueue(const ServerScore &score, TimePoint now)
+{
+    if (!score.load || now - score.loadSeen > loadLife || score.load->slots <= 0)
+        return 0;
+    const double freshness = 1.0
+                             - static_cast<double>((now - score.loadSeen).count())
+                                   / static_cast<double>(loadLife.count());
+    return freshness * score.load->waiting / score.load->slots;
+}
+
 double preferenceFor(const ServerCandidate &candidate, TimePoint now)
 {
     const ServerScore &score = *candidate.score;
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -105,6 +105,8 @@
         return false;
     const bool isExtra = m_wasSent || !m_running.empty();
     const ExtraKind kind = m_running.empty() ? ExtraKind::Retry : ExtraKind::Hedge;
+    if (kind == ExtraKind::Hedge && !server->hasRoom())
+        return false;
     if (isExtra && !m_fleet.takeExtra(*m_plan.pool, kind))
         return false;
     sendTo(*server);
