Instances count each other over UDP; allowances are divided by their number

Change: FleetBeacon tells the seeds of this instance, they reply how many they have heard of; FleetSize keeps the greatest count. Allowance (0.6 of it used) and a server's connections are divided by it, four seconds after the start. Ruled out: guessing the number from the allowance; an estimate that may fall, since instances that are cut off still use their part.

--- /dev/null
+++ b/modules/adapters/src/gateway/FleetBeacon.cpp
@@ -0,0 +1,175 @@
+#include "concurrency/AsioHeaders.h"
+
+#include <oleander/adapters/gateway/FleetBeacon.h>
+
+#include <boost/asio/ip/udp.hpp>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <optional>
+#include <utility>
+
+namespace oleander {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using nlohmann::json;
+using udp = asio::ip::udp;
+
+namespace {
+
+/// The first calls come quickly, since the number of instances decides how much each may send.
+constexpr Duration firstPeriod = milliseconds(500);
+constexpr Duration laterPeriod = seconds(3);
+constexpr int quickCalls = 6;
+constexpr std::size_t largestDatagram = 1024;
+
+struct Message
+{
+    InstanceId instance;
+    std::size_t heardOf = 0;
+    bool isReply = false;
+};
+
+std::string encode(const Message &message)
+{
+    return json{{"instance", message.instance.text()},
+                {"heardOf", message.heardOf},
+                {"isReply", message.isReply}}
+        .dump();
+}
+
+std::optional<Message> decode(std::string_view text)
+{
+    const json document = json::parse(text, nullptr, false);
+    if (!document.is_object())
+        return std::nullopt;
+    const auto instance = document.find("instance");
+    const auto heardOf = document.find("heardOf");
+    const auto isReply = document.find("isReply");
+    if (instance == document.end() || !instance->is_string() || heardOf == document.end()
+        || !heardOf->is_number_unsigned() || isReply == document.end() || !isReply->is_boolean())
+        return std::nullopt;
+    return Message{InstanceId(instance->get<std::string>()), heardOf->get<std::size_t>(),
+                   isReply->get<bool>()};
+}
+
+} // namespace
+
+class FleetBeacon::Impl : public std::enable_shared_from_this<FleetBeacon::Impl>
+{
+public:
+    Impl(asio::io_context &context, TimerService &timer, InstanceId self, Listener listener,
+         HeardOf heardOf)
+        : m_timer(timer)
+        , m_self(std::move(self))
+        , m_listener(std::move(listener))
+        , m_heardOf(std::move(heardOf))
+        , m_socket(context)
+    {
+    }
+
+    bool start(const Address &address, const std::vector<Address> &seeds, Reason &reason)
+    {
+        error_code error;
+        const udp::endpoint endpoint(asio::ip::make_address(address.number, error), address.port);
+        if (!error)
+            m_socket.open(endpoint.protocol(), error);
+        if (!error)
+            m_socket.bind(endpoint, error);
+        if (!error)
+            m_socket.non_blocking(true, error);
+        if (error) {
+            reason.set(ErrorKind::Internal, "beacon can not listen on " + address.number + ":"
+                                                + std::to_string(address.port) + ": "
+                                                + error.message());
+            return false;
+        }
+        for (const Address &seed : seeds) {
+            const auto number = asio::ip::make_address(seed.number, error);
+            if (!error && seed.number != address.number)
+                m_seeds.emplace_back(number, address.port);
+        }
+        receive();
+        call();
+        return true;
+    }
+
+    void stop()
+    {
+        m_listener = nullptr;
+        m_next.reset();
+        error_code ignored;
+        m_socket.close(ignored);
+    }
+
+private:
+    void call()
+    {
+        for (const udp::endpoint &seed : m_seeds)
+            send({m_self, m_heardOf(), false}, seed);
+        const Duration period = ++m_calls <= quickCalls ? firstPeriod : laterPeriod;
+        m_next = m_timer.callAfter(period, [this](const TimerTick &) { call(); });
+    }
+
+    void send(const Message &message, const udp::endpoint &target)
+    {
+        const std::string text = encode(message);
+        // A datagram that can not be sent now is as good as a lost one.
+        error_code ignored;
+        m_socket.send_to(asio::buffer(text), target, 0, ignored);
+    }
+
+    void receive()
+    {
+        m_socket.async_receive_from(
+            asio::buffer(m_buffer), m_sender,
+            [self = shared_from_this()](const error_code &error, std::size_t count) {
+                self->onReceived(error, count);
+            });
+    }
+
+    void onReceived(const error_code &error, std::size_t count)
+    {
+        if (!m_listener)
+            return;
+        const auto message =
+            error ? std::nullopt : decode(std::string_view(m_buffer.data(), count));
+        if (message) {
+            m_listener(message->instance, message->heardOf);
+            if (!message->isReply)
+                send({m_self, m_heardOf(), true}, m_sender);
+        }
+        receive();
+    }
+
+    TimerService &m_timer;
+    InstanceId m_self;
+    Listener m_listener;
+    HeardOf m_heardOf;
+    udp::socket m_socket;
+    udp::endpoint m_sender;
+    std::array<char, largestDatagram> m_buffer{};
+    std::vector<udp::endpoint> m_seeds;
+    int m_calls = 0;
+    Subscription m_next;
+};
+
+FleetBeacon::FleetBeacon(asio::io_context &context, TimerService &timer, InstanceId self,
+                         Listener listener, HeardOf heardOf)
+    : m_impl(std::make_shared<Impl>(context, timer, std::move(self), std::move(listener),
+                                    std::move(heardOf)))
+{
+}
+
+FleetBeacon::~FleetBeacon()
+{
+    m_impl->stop();
+}
+
+bool FleetBeacon::start(const Address &address, const std::vector<Address> &seeds, Reason &reason)
+{
+    return m_impl->start(address, seeds, reason);
+}
+
+} // namespace oleander
--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -2,11 +2,13 @@
 
 #include <oleander/adapters/gateway/AsioServerLinks.h>
 #include <oleander/adapters/gateway/CallerIngress.h>
+#include <oleander/adapters/gateway/FleetBeacon.h>
 #include <oleander/adapters/log/JsonEventLog.h>
 #include <oleander/adapters/operators/OperatorServer.h>
 #include <oleander/adapters/time/AsioTimerService.h>
 #include <oleander/adapters/time/SeededRandom.h>
 #include <oleander/daemon/GatewayDaemon.h>
+#include <oleander/gateway/FleetSize.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -29,6 +31,8 @@
 /// Time kept back from the end that is forced.
 constexpr Duration stopMargin = milliseconds(400);
 constexpr Duration stopPollPeriod = milliseconds(50);
+/// Time after the start until the number of instances is believed.
+constexpr Duration settlingTime = seconds(4);
 constexpr Duration expirePeriod = milliseconds(500);
 /// Heartbeats that a server may miss before its registration lapses.
 constexpr int lapsedHeartbeats = 3;
@@ -37,14 +41,18 @@
 constexpr int shareForCallers = 2;
 /// Part of the earned extra load that is used, since instances count requests at other moments.
 constexpr double extraShareUsed = 0.95;
-/// Instances that share the allowance of extra load.
-constexpr double assumedInstances = 100;
+/// Part of the allowance that is used, for instances that were not heard of.
+constexpr double allowanceUsed = 0.6;
+/// Part of a server's connections that is used, for those that are being closed.
+constexpr double connectionsUsed = 0.9;
+/// Number of instances that is assumed until it is known.
+constexpr std::size_t assumedInstances = 100;
 
 gateway::GatewayPolicy policyFrom(const GatewaySettings &settings)
 {
     gateway::GatewayPolicy policy;
     policy.extras.share = settings.extraShare * extraShareUsed;
-    policy.extras.allowance = std::max(1.0, settings.extraAllowance / assumedInstances);
+    policy.extras.allowance = settings.extraAllowance * allowanceUsed / assumedInstances;
     policy.extras.window = settings.extraWindow;
     return policy;
 }
@@ -85,6 +93,11 @@
                            gateway::AnswerCallback answer) {
                         return m_gateway.handle(std::move(request), std::move(answer));
                     })
+        , m_fleetSize(m_settings.instance)
+        , m_beacon(
+              m_context, m_timer, m_settings.instance,
+              [this](const InstanceId &other, std::size_t count) { hear(other, count); },
+              [this] { return m_fleetSize.heardOf(); })
         , m_pages(m_context)
         , m_metrics(m_context)
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
@@ -100,10 +113,14 @@
             std::max(1, (m_settings.descriptors - reservedDescriptors) / shareForCallers)));
         if (!m_ingress.listen(m_settings.callerAddress, reason)
             || !m_pages.listen(addressText(m_settings.readinessAddress), reason)
+            || !m_beacon.start(m_settings.beaconAddress, m_settings.seeds, reason)
             || !m_metrics.listen(addressText(m_settings.metricsAddress), reason))
             return false;
         awaitSignal();
         m_follower.start();
+        m_started = m_timer.now();
+        m_settling = m_timer.callAfter(settlingTime + milliseconds(1),
+                                       [this](const TimerTick &) { applyFleetSize(); });
         m_expiry = m_timer.callEvery(expirePeriod, [this](const TimerTick &tick) {
             m_directory.expire(tick.fired);
             noteReadiness();
@@ -123,6 +140,32 @@
         m_ingress.setLimits(m_gateway.routes()->configuration().limits);
     }
 
+    void hear(const InstanceId &other, std::size_t count)
+    {
+        const auto before = m_fleetSize.estimate();
+        m_fleetSize.hear(other);
+        m_fleetSize.report(count);
+        const auto now = m_fleetSize.estimate();
+        if (now == before || !now)
+            return;
+        m_log.record(EventId::InstanceListChanged, {}, {{"instances", *now}});
+        applyFleetSize();
+    }
+
+    /// What all instances share is divided by their number.
+    void applyFleetSize()
+    {
+        // Right after a start few are heard of, though many may be there.
+        const bool isSettled = m_timer.now() - m_started > settlingTime;
+        const auto instances = m_fleetSize.estimate();
+        if (!isSettled || !instances)
+            return;
+        m_policy.extras.allowance =
+            m_settings.extraAllowance * allowanceUsed / static_cast<double>(*instances);
+        m_policy.assumedInstances =
+            static_cast<int>(static_cast<double>(*instances) / connectionsUsed) + 1;
+    }
+
     [[nodiscard]] bool isReady() const
     {
         return !m_isStopping && m_gateway.routes() && m_view.isKnown();
@@ -169,6 +212,7 @@
             return;
         }
         m_policy = policyFrom(*settings);
+        applyFleetSize();
         m_log.record(
             EventId::SettingsReloaded, {},
             {{"isChanged", *settings != m_settings}, {"extraShare", settings->extraShare}});
@@ -222,13 +266,17 @@
     std::unique_ptr<gateway::RegistryReader> m_registry;
     gateway::RegistryFollower m_follower;
     CallerIngress m_ingress;
+    gateway::FleetSize m_fleetSize;
+    FleetBeacon m_beacon;
     OperatorServer m_pages;
     OperatorServer m_metrics;
     boost::asio::signal_set m_signals;
     bool m_isStopping = false;
     bool m_wasReady = false;
+    TimePoint m_started{};
     TimePoint m_stopDeadline{};
     Subscription m_expiry;
+    Subscription m_settling;
     Subscription m_stopStep;
 };
 
--- a/modules/settings/include/oleander/settings/GatewaySettings.h
+++ b/modules/settings/include/oleander/settings/GatewaySettings.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace oleander {
 
@@ -21,6 +22,10 @@
     /// Counters and histograms, for operators.
     Address metricsAddress;
     Address registryAddress;
+    /// UDP, on which instances learn how many they are.
+    Address beaconAddress;
+    /// Instances that are asked first; their ports do not matter.
+    std::vector<Address> seeds;
     /// Time between a stop signal and the end that is forced.
     Duration stopTime = seconds(6);
     /// Period in which servers renew their registration.
@@ -37,9 +42,9 @@
 };
 
 /// Reads a gateway's settings file, JSON. Keys: `instance`, `dataCentre`, `callerAddress`,
-/// `readinessAddress`, `metricsAddress`, `registryAddress`, `stopSeconds`, `heartbeatMs`,
-/// `descriptors`, `extraLoad` with `share`, `allowance` and `windowSeconds`. All are required.
-/// Every fault is reported with its path.
+/// `readinessAddress`, `metricsAddress`, `registryAddress`, `beaconAddress`, `seeds`,
+/// `stopSeconds`, `heartbeatMs`, `descriptors`, `extraLoad` with `share`, `allowance` and
+/// `windowSeconds`. All are required. Every fault is reported with its path.
 std::optional<GatewaySettings> readGatewaySettings(std::string_view text, Findings &findings);
 
 /// The same, with the first fault.
--- a/modules/settings/src/GatewaySettings.cpp
+++ b/modules/settings/src/GatewaySettings.cpp
@@ -13,6 +13,7 @@
 
 constexpr NumberRange heartbeatRange{10, 600'000, "ms"};
 constexpr NumberRange descriptorRange{64, 1 << 24, "descriptors"};
+constexpr std::size_t maximumSeeds = 64;
 constexpr double longestStop = 3600;
 constexpr double longestWindow = 3600;
 constexpr double largestShare = 1;
@@ -23,6 +24,23 @@
     return parseAddress(reader.address(key)).value_or(Address{});
 }
 
+std::vector<Address> readSeeds(ObjectReader &reader, Findings &findings)
+{
+    std::vector<Address> seeds;
+    const json *list = reader.list("seeds", 0, maximumSeeds, Presence::Required);
+    for (std::size_t index = 0; list && index < list->size(); ++index) {
+        const json &value = (*list)[index];
+        const auto address =
+            value.is_string() ? parseAddress(value.get<std::string>()) : std::nullopt;
+        if (address)
+            seeds.push_back(*address);
+        else
+            findings.push_back({elementPath(reader.pathOf("seeds"), index),
+                                "must be an IP number and a port from 1 to 65535"});
+    }
+    return seeds;
+}
+
 Duration inDuration(std::optional<double> number)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(number.value_or(0)));
@@ -56,6 +74,8 @@
     settings.readinessAddress = readAddress(reader, "readinessAddress");
     settings.metricsAddress = readAddress(reader, "metricsAddress");
     settings.registryAddress = readAddress(reader, "registryAddress");
+    settings.beaconAddress = readAddress(reader, "beaconAddress");
+    settings.seeds = readSeeds(reader, findings);
     settings.stopTime =
         inDuration(reader.number("stopSeconds", 0.1, longestStop, Presence::Required));
     settings.heartbeat =
