--- a/modules/gateway/include/oleander/gateway/RegistryFollower.h
+++ b/modules/gateway/include/oleander/gateway/RegistryFollower.h
@@ -20,6 +20,8 @@
     /// Least time between the starts of two watches, so that frequent changes come in batches. A
     /// change is known after this time at the latest, while the registry answers.
     Duration leastPeriod = milliseconds(1600);
+    /// A watch that brings this many changes may have left others out, and is followed at once.
+    std::size_t fullBatch = 250;
     /// First and longest pause after a failed call.
     Duration firstBackoff = milliseconds(150);
     Duration longestBackoff = milliseconds(1500);
--- a/modules/gateway/src/RegistryFollower.cpp
+++ b/modules/gateway/src/RegistryFollower.cpp
@@ -107,6 +107,10 @@
     m_revision = std::max(m_revision, answer.revision);
     if (!answer.items.empty())
         m_listener.onChanges(answer.items);
+    if (answer.items.size() >= m_pace.fullBatch) {
+        watch();
+        return;
+    }
     const Duration taken = m_timer.now() - m_callStarted;
     later(std::max(Duration{}, m_pace.leastPeriod - taken), &RegistryFollower::watch);
 }
--- a/modules/gateway/tests/RegistryFollowerTest.cpp
+++ b/modules/gateway/tests/RegistryFollowerTest.cpp
@@ -122,6 +122,18 @@
     EXPECT_EQ(log.count(EventId::PlatformReachable), 1U);
 }
 
+// With 800 changes a second and answers of some hundred, a paced reader fell further and further
+// behind, and served old configurations.
+TEST_F(RegistryFollowerTest, FullBatchIsFollowedAtOnce)
+{
+    std::vector<std::string> keys(FollowPace{}.fullBatch, "p/a");
+    registry.answers = {page({"p/a"}, 1), page(keys, 2), page(keys, 3), page({"p/a"}, 4)};
+    follower.start();
+    scheduler.runFor(milliseconds(20));
+    ASSERT_GE(registry.calls.size(), 4U);
+    EXPECT_EQ(registry.calls[3], "watch 3");
+}
+
 TEST_F(RegistryFollowerTest, FrequentChangesAreReadInBatches)
 {
     registry.answers.push_back(page({"p/a"}, 1));
