--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -42,6 +42,8 @@
     [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
     /// May be sent new work: registered, not leaving, and not another server's address.
     [[nodiscard]] bool isUsable() const;
+    /// Its connections failed to open a moment ago and none is open: nothing is sent there yet.
+    [[nodiscard]] bool isAvoided() const;
     /// Would begin with a request at once, by all that is known of its load.
     [[nodiscard]] bool hasRoom() const;
 
--- a/modules/gateway/include/oleander/gateway/ServerFleet.h
+++ b/modules/gateway/include/oleander/gateway/ServerFleet.h
@@ -38,7 +38,7 @@
     // Use
     /// The pool of a service. Made when there is none; stays for good.
     ServicePool &pool(const ServiceId &service);
-    /// A usable server of the pool that is not among `excluded`, or null.
+    /// A usable server of the pool that is not among `excluded` nor avoided at present, or null.
     BackendServer *choose(ServicePool &pool, const std::vector<BackendServer *> &excluded,
                           Duration usualLatency);
     [[nodiscard]] std::size_t connections() const;
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -105,6 +105,13 @@
     return !m_isRetired && !m_isMisplaced && !m_registration.isDraining;
 }
 
+bool BackendServer::isAvoided() const
+{
+    return m_context.timer.now() < m_score.avoidUntil
+           && std::ranges::none_of(m_connections,
+                                   [](const auto &connection) { return connection->isOpen(); });
+}
+
 bool BackendServer::hasRoom() const
 {
     // Reports are a little old, so a short queue by the report is none by now.
@@ -197,6 +204,7 @@
         onClosed(*connection, true);
     }
     endOverdue();
+    sendWaiting();
 }
 
 void BackendServer::endOverdue()
@@ -221,7 +229,9 @@
 {
     const auto opening = std::ranges::count_if(
         m_connections, [](const auto &connection) { return !connection->isOpen(); });
-    if (m_isRetired || static_cast<std::size_t>(opening) >= m_waiting.size())
+    // Right after a failed opening the connections that there are must do.
+    const bool isTooEarly = m_context.timer.now() < m_score.avoidUntil;
+    if (m_isRetired || isTooEarly || static_cast<std::size_t>(opening) >= m_waiting.size())
         return;
     if (static_cast<int>(m_connections.size()) >= m_connectionLimit) {
         // Connections that are idle while work waits have been idle for too long to be used.
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -96,7 +96,8 @@
     candidates.reserve(pool.servers.size());
     for (std::size_t index = 0; index < pool.servers.size(); ++index) {
         const BackendServer &server = *pool.servers[index];
-        if (!server.isUsable() || std::ranges::find(excluded, &server) != excluded.end())
+        if (!server.isUsable() || server.isAvoided()
+            || std::ranges::find(excluded, &server) != excluded.end())
             continue;
         ServerCandidate candidate{index, &server.score(), server.inFlight(), 0,
                                   server.registration().dataCentre == m_dataCentre};
--- a/modules/gateway/tests/ServerFleetTest.cpp
+++ b/modules/gateway/tests/ServerFleetTest.cpp
@@ -74,6 +74,21 @@
     }
 }
 
+// Calls that wait for a shard whose servers are both down tried them again and again: thousands of
+// refused connections a second (incident of AMMS).
+TEST_F(ServerFleetTest, ServersThatAreDownAreNotStormedByWaitingCalls)
+{
+    servers.crash(addressOf(shards, 0));
+    servers.crash(addressOf(shards, 1));
+    scheduler.runFor(milliseconds(10));
+    const int before = servers.openings();
+    for (int number = 0; number < 100; ++number) {
+        instance.ask("r" + std::to_string(number), "/one/x", seconds(15));
+        scheduler.runFor(milliseconds(20));
+    }
+    EXPECT_LE(servers.openings() - before, 30);
+}
+
 TEST_F(ServerFleetTest, AddressThatAnotherServerTookOverGetsNothingMore)
 {
     servers.conduct(addressOf(shards, 0)).isMisplaced = true;
--- a/modules/gateway/tests/support/SimulatedServers.cpp
+++ b/modules/gateway/tests/support/SimulatedServers.cpp
@@ -128,6 +128,7 @@
 {
     Server &server = serverAt(address);
     auto link = std::make_unique<Link>(*this, server, listener);
+    ++m_openings;
     server.links.push_back(link->state());
     if (server.conduct.isDark)
         return link;
--- a/modules/gateway/tests/support/SimulatedServers.h
+++ b/modules/gateway/tests/support/SimulatedServers.h
@@ -73,6 +73,8 @@
     void crash(const Address &address);
     /// Requests that wait for a slot.
     [[nodiscard]] std::size_t waiting(const Address &address);
+    /// Connections that were begun, whether they opened or not.
+    [[nodiscard]] int openings() const { return m_openings; }
     [[nodiscard]] int openLinks() const { return m_openLinks; }
 
     std::unique_ptr<ServerLink> open(const Address &address, ServerLinkListener &listener) override;
@@ -94,6 +96,7 @@
     std::uniform_real_distribution<double> m_uniform{0, 1};
     std::unordered_map<std::string, std::unique_ptr<Server>> m_servers;
     int m_openLinks = 0;
+    int m_openings = 0;
     std::uint64_t m_receipts = 0;
 };
 
