--- a/modules/adapters/src/metrics/PrometheusText.cpp
+++ b/modules/adapters/src/metrics/PrometheusText.cpp
@@ -158,17 +158,33 @@
         page.histogram(label("service", service.text()), counts.latencies);
 }
 
+void writeNumbers(Page &page, std::string_view type, std::span<const Gauge> numbers)
+{
+    for (const Gauge &number : numbers) {
+        page.family(number.name, type, number.help);
+        page.sample("", "", numberText(number.value));
+    }
+}
+
 } // namespace
 
+std::string prometheusText(std::span<const Gauge> counters, std::span<const Gauge> gauges,
+                           const LatencyHistogram &answers)
+{
+    Page page;
+    writeNumbers(page, "counter", counters);
+    writeNumbers(page, "gauge", gauges);
+    page.family("answer_latency_seconds", "histogram", "Time from receipt to answer.");
+    page.histogram(label("protocol", "http"), answers);
+    return page.take();
+}
+
 std::string prometheusText(const MetricsTotals &totals, std::span<const Gauge> gauges)
 {
     Page page;
     writeBackends(page, totals);
     writeServices(page, totals);
-    for (const Gauge &gauge : gauges) {
-        page.family(gauge.name, "gauge", gauge.help);
-        page.sample("", "", numberText(gauge.value));
-    }
+    writeNumbers(page, "gauge", gauges);
     return page.take();
 }
 
--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -4,6 +4,7 @@
 #include <oleander/adapters/gateway/CallerIngress.h>
 #include <oleander/adapters/gateway/FleetBeacon.h>
 #include <oleander/adapters/log/JsonEventLog.h>
+#include <oleander/adapters/metrics/PrometheusText.h>
 #include <oleander/adapters/operators/OperatorServer.h>
 #include <oleander/adapters/time/AsioTimerService.h>
 #include <oleander/adapters/time/SeededRandom.h>
@@ -91,7 +92,7 @@
         , m_ingress(m_context, m_timer, m_platform.headers,
                     [this](std::shared_ptr<const gateway::CallerRequest> request,
                            gateway::AnswerCallback answer) {
-                        return m_gateway.handle(std::move(request), std::move(answer));
+                        return take(std::move(request), std::move(answer));
                     })
         , m_fleetSize(m_settings.instance)
         , m_beacon(
@@ -105,6 +106,7 @@
         std::signal(SIGPIPE, SIG_IGN);
         m_pages.addPage(m_platform.readinessPath,
                         [this](const std::string &) { return readinessPage(); });
+        m_metrics.addPage("/metrics", [this](const std::string &) { return metricsPage(); });
     }
 
     bool start(Reason &reason)
@@ -189,6 +191,57 @@
         return page;
     }
 
+    std::shared_ptr<gateway::Call> take(std::shared_ptr<const gateway::CallerRequest> request,
+                                        gateway::AnswerCallback answer)
+    {
+        const TimePoint arrived = request->arrived;
+        return m_gateway.handle(std::move(request), [this, arrived, answer = std::move(answer)](
+                                                        gateway::CallerAnswer given) {
+            m_latencies.add(m_timer.now() - arrived);
+            answer(std::move(given));
+        });
+    }
+
+    [[nodiscard]] OperatorPage metricsPage() const
+    {
+        const auto number = [](auto value) { return static_cast<double>(value); };
+        const gateway::GatewayCounts &counts = m_gateway.counts();
+        const IngressCounts &ingress = m_ingress.counts();
+        const Gauge counters[] = {
+            {"answers_total", "Answers with a server's reply or gathered parts.",
+             number(counts.answered)},
+            {"answers_partial_total", "Gathered answers that lack shards.", number(counts.partial)},
+            {"refusals_total", "Requests refused, not run.", number(counts.refused)},
+            {"failures_total", "Requests that ended without a result.", number(counts.failed)},
+            {"callers_left_total", "Callers that left before their answer.", number(counts.left)},
+            {"requests_total", "Requests read whole.", number(ingress.requests)},
+            {"requests_malformed_total", "Requests that were no proper HTTP.",
+             number(ingress.malformed)},
+            {"caller_connections_total", "Connections accepted.", number(ingress.accepted)},
+            {"caller_connections_evicted_total", "Connections closed for want of room.",
+             number(ingress.evicted)},
+            {"log_lines_left_out_total", "Log lines left out to bound their volume.",
+             number(m_log.leftOut())},
+        };
+        const Duration age = m_follower.age().value_or(Duration{});
+        const Gauge gauges[] = {
+            {"ready", "Whether callers are taken.", isReady() ? 1.0 : 0.0},
+            {"configuration_version", "Version of the configuration in force.",
+             m_gateway.routes() ? number(m_gateway.routes()->version().value()) : 0.0},
+            {"registry_age_seconds", "Time since the registry last answered.",
+             inMilliseconds(age) / 1000.0},
+            {"servers", "Servers that are registered.", number(m_directory.size())},
+            {"server_connections", "Connections to servers.", number(m_fleet.connections())},
+            {"caller_connections", "Connections of callers.", number(ingress.connections)},
+            {"active_calls", "Requests under way.", number(m_gateway.activeCalls())},
+            {"instances", "Instances of the fleet that were heard of.",
+             number(m_fleetSize.estimate().value_or(1))},
+        };
+        OperatorPage page;
+        page.body = prometheusText(counters, gauges, m_latencies);
+        return page;
+    }
+
     void awaitSignal()
     {
         m_signals.async_wait([this](const boost::system::error_code &error, int number) {
@@ -268,6 +321,7 @@
     CallerIngress m_ingress;
     gateway::FleetSize m_fleetSize;
     FleetBeacon m_beacon;
+    LatencyHistogram m_latencies;
     OperatorServer m_pages;
     OperatorServer m_metrics;
     boost::asio::signal_set m_signals;
