--- a/modules/adapters/include/oleander/adapters/log/JsonEventLog.h
+++ b/modules/adapters/include/oleander/adapters/log/JsonEventLog.h
@@ -15,7 +15,7 @@
     double infoPerSecond = 150;
     double warningsPerSecond = 150;
     /// Bytes that wait for a reader of the log; lines that find no room are left out.
-    std::size_t bufferBytes = 256 * 1024;
+    std::size_t bufferBytes = std::size_t{256} * 1024;
 };
 
 /// Writes events as JSON lines to a file descriptor, usually standard output.
--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -24,9 +24,9 @@
 using tcp = asio::ip::tcp;
 
 /// Larger replies end the connection: they are held whole in memory.
-constexpr std::size_t largestBody = 8 * 1024 * 1024;
-constexpr std::size_t largestHeader = 32 * 1024;
-constexpr std::size_t readSize = 8 * 1024;
+constexpr std::size_t largestBody = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t largestHeader = std::size_t{32} * 1024;
+constexpr std::size_t readSize = std::size_t{8} * 1024;
 /// Sent bytes that are not acknowledged for this long end the connection.
 constexpr int unacknowledgedLimitMs = 3000;
 constexpr int statusMisdirected = 421;
--- a/modules/adapters/src/gateway/IngressSession.cpp
+++ b/modules/adapters/src/gateway/IngressSession.cpp
@@ -18,9 +18,9 @@
 
 namespace {
 
-constexpr std::size_t readSize = 8 * 1024;
+constexpr std::size_t readSize = std::size_t{8} * 1024;
 /// Bytes of further requests that are taken in while one is answered.
-constexpr std::size_t readAhead = 64 * 1024;
+constexpr std::size_t readAhead = std::size_t{64} * 1024;
 constexpr int statusBadRequest = 400;
 constexpr int statusTooLarge = 413;
 constexpr int statusHeaderTooLarge = 431;
--- /dev/null
+++ b/modules/adapters/tests/gateway/FleetBeaconTest.cpp
@@ -0,0 +1,63 @@
+#include <oleander/adapters/gateway/FleetBeacon.h>
+#include <oleander/adapters/time/AsioTimerService.h>
+#include <oleander/gateway/FleetSize.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <gtest/gtest.h>
+
+#include <utility>
+
+using namespace oleander;
+
+namespace {
+
+struct Instance
+{
+    Instance(boost::asio::io_context &context, TimerService &timer, const std::string &name)
+        : size(InstanceId(name))
+        , beacon(
+              context, timer, InstanceId(name),
+              [this](const InstanceId &other, std::size_t count) {
+                  size.hear(other);
+                  size.report(count);
+              },
+              [this] { return size.heardOf(); })
+    {
+    }
+
+    gateway::FleetSize size;
+    FleetBeacon beacon;
+};
+
+// All of 127.0.0.0/8 is this machine, so that instances share a port as they do on a platform.
+TEST(FleetBeacon, InstancesLearnTheirNumberFromASeed)
+{
+    boost::asio::io_context context;
+    AsioTimerService timer(context);
+    std::uint16_t port = 0;
+    {
+        const boost::asio::ip::udp::socket probe(context,
+                                                 {boost::asio::ip::make_address("127.0.0.1"), 0});
+        port = probe.local_endpoint().port();
+    }
+    const std::vector<Address> seeds{{"127.0.0.1", 1}};
+    std::vector<std::unique_ptr<Instance>> instances;
+    for (int number = 1; number <= 4; ++number) {
+        instances.push_back(
+            std::make_unique<Instance>(context, timer, "i-" + std::to_string(number)));
+        Reason reason;
+        ASSERT_TRUE(instances.back()->beacon.start({"127.0.0." + std::to_string(number), port},
+                                                   seeds, reason))
+            << reason.text;
+    }
+    boost::asio::ip::udp::socket stranger(context, boost::asio::ip::udp::v4());
+    const std::string noise = "{\"instance\":7}";
+    stranger.send_to(boost::asio::buffer(noise),
+                     {boost::asio::ip::make_address("127.0.0.1"), port});
+    context.run_for(std::chrono::seconds(2));
+    for (const auto &instance : instances)
+        EXPECT_EQ(instance->size.estimate(), 4U);
+}
+
+} // namespace
--- a/modules/gateway/include/oleander/gateway/RegistryFollower.h
+++ b/modules/gateway/include/oleander/gateway/RegistryFollower.h
@@ -58,10 +58,10 @@
     [[nodiscard]] std::optional<Duration> age() const;
 
 private:
-    void readPage(std::string afterKey);
+    void readPage(const std::string &afterKey);
     void onPage(RegistryAnswer answer);
     void watch();
-    void onWatched(RegistryAnswer answer);
+    void onWatched(const RegistryAnswer &answer);
     void retryAfter(RegistryError error, bool fromScratch);
     void noteAnswer();
     void later(Duration delay, void (RegistryFollower::*step)());
--- a/modules/gateway/include/oleander/gateway/RouteTable.h
+++ b/modules/gateway/include/oleander/gateway/RouteTable.h
@@ -13,8 +13,8 @@
 /// Bounds on what a caller may send, and on how long it may take.
 struct CallerLimits
 {
-    std::size_t headerBytes = 16 * 1024;
-    std::size_t bodyBytes = 256 * 1024;
+    std::size_t headerBytes = std::size_t{16} * 1024;
+    std::size_t bodyBytes = std::size_t{256} * 1024;
     Duration headerTimeout = seconds(10);
     Duration idleTimeout = seconds(60);
 };
--- a/modules/gateway/include/oleander/gateway/ServiceCall.h
+++ b/modules/gateway/include/oleander/gateway/ServiceCall.h
@@ -76,7 +76,7 @@
     void sendTo(BackendServer &server);
     void hedge();
     void armHedge();
-    void onEnded(const AttemptPtr &attempt, BackendServer *server, AttemptResult result);
+    void onEnded(const Attempt &attempt, BackendServer &server, AttemptResult result);
     void onReplied(AttemptResult result);
     void retryOrFinish();
     void retryLater();
--- a/modules/gateway/src/RegistryFollower.cpp
+++ b/modules/gateway/src/RegistryFollower.cpp
@@ -59,7 +59,7 @@
     readPage({});
 }
 
-void RegistryFollower::readPage(std::string afterKey)
+void RegistryFollower::readPage(const std::string &afterKey)
 {
     m_callStarted = m_timer.now();
     m_reader.list(m_prefix, afterKey, [this, life = std::weak_ptr(m_life)](RegistryAnswer answer) {
@@ -91,13 +91,13 @@
 {
     m_callStarted = m_timer.now();
     m_reader.watch(m_prefix, m_revision, m_pace.watchWait,
-                   [this, life = std::weak_ptr(m_life)](RegistryAnswer answer) {
+                   [this, life = std::weak_ptr(m_life)](const RegistryAnswer &answer) {
                        if (!life.expired())
-                           onWatched(std::move(answer));
+                           onWatched(answer);
                    });
 }
 
-void RegistryFollower::onWatched(RegistryAnswer answer)
+void RegistryFollower::onWatched(const RegistryAnswer &answer)
 {
     if (answer.error != RegistryError::None) {
         retryAfter(answer.error, answer.error == RegistryError::HistoryGone);
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -129,8 +129,11 @@
         if (!call)
             return;
         const auto found = std::ranges::find(call->m_running, raw, &AttemptPtr::get);
-        if (found != call->m_running.end())
-            call->onEnded(*found, &server, std::move(result));
+        if (found == call->m_running.end())
+            return;
+        const AttemptPtr ended = std::move(*found);
+        call->m_running.erase(found);
+        call->onEnded(*ended, server, std::move(result));
     };
     if (m_sentCount++ == 0)
         m_fleet.earnExtra(*m_plan.pool);
@@ -164,14 +167,12 @@
     sendNext(false);
 }
 
-void ServiceCall::onEnded(const AttemptPtr &ended, BackendServer *server, AttemptResult result)
+void ServiceCall::onEnded(const Attempt &attempt, BackendServer &server, AttemptResult result)
 {
-    const AttemptPtr attempt = ended;
-    std::erase(m_running, attempt);
-    m_wasSent = m_wasSent || attempt->isSent;
+    m_wasSent = m_wasSent || attempt.isSent;
     const bool mayHaveRun = result.end == AttemptEnd::Replied || result.end == AttemptEnd::Lost;
-    if (mayHaveRun && std::ranges::find(m_executors, server) == m_executors.end())
-        m_executors.push_back(server);
+    if (mayHaveRun && std::ranges::find(m_executors, &server) == m_executors.end())
+        m_executors.push_back(&server);
     switch (result.end) {
     case AttemptEnd::Replied:
         onReplied(std::move(result));
--- /dev/null
+++ b/modules/settings/tests/GatewaySettingsTest.cpp
@@ -0,0 +1,71 @@
+#include <oleander/settings/GatewaySettings.h>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+using namespace oleander;
+using nlohmann::json;
+
+namespace {
+
+json plainSettings()
+{
+    return {{"instance", "front-a-1"},
+            {"dataCentre", "a"},
+            {"callerAddress", "10.0.0.1:8104"},
+            {"readinessAddress", "10.0.0.1:8108"},
+            {"metricsAddress", "10.0.0.1:7380"},
+            {"registryAddress", "10.0.0.2:8102"},
+            {"beaconAddress", "10.0.0.1:7395"},
+            {"seeds", {"10.0.0.3:8106"}},
+            {"stopSeconds", 6},
+            {"heartbeatMs", 1200},
+            {"descriptors", 2870},
+            {"extraLoad", {{"share", 0.2}, {"allowance", 129}, {"windowSeconds", 10}}}};
+}
+
+TEST(GatewaySettings, ReadsAllFields)
+{
+    Reason reason;
+    const auto settings = parseGatewaySettings(plainSettings().dump(), reason);
+    ASSERT_TRUE(settings) << reason.text;
+    EXPECT_EQ(settings->callerAddress, (Address{"10.0.0.1", 8104}));
+    EXPECT_EQ(settings->seeds.size(), 1U);
+    EXPECT_EQ(settings->stopTime, seconds(6));
+    EXPECT_EQ(settings->heartbeat, milliseconds(1200));
+    EXPECT_EQ(settings->extraAllowance, 129);
+}
+
+TEST(GatewaySettings, NamesThePathAndTheRangeOfWhatIsWrong)
+{
+    const std::vector<std::pair<json, std::string>> faults{
+        {{{"stopSeconds", 0}}, "$.stopSeconds: must be a number from 0.1 to 3600.0, not 0"},
+        {{{"heartbeatMs", 1}}, "$.heartbeatMs: must be a whole number from 10 to 600000 (ms)"},
+        {{{"callerAddress", "some.name:1"}}, "$.callerAddress: must be an IP number and a port"},
+        {{{"seeds", {"x"}}}, "$.seeds[0]: must be an IP number and a port"},
+        {{{"unheardOf", 1}}, "$.unheardOf: is not known here"},
+        {{{"extraLoad", {{"share", 2}, {"allowance", 1}, {"windowSeconds", 10}}}},
+         "$.extraLoad.share: must be a number from 0"},
+    };
+    for (const auto &[change, message] : faults) {
+        json document = plainSettings();
+        document.update(change);
+        Reason reason;
+        EXPECT_FALSE(parseGatewaySettings(document.dump(), reason));
+        EXPECT_TRUE(reason.text.starts_with(message)) << reason.text;
+    }
+}
+
+TEST(GatewaySettings, EveryFieldIsRequired)
+{
+    const json plain = plainSettings();
+    for (const auto &[name, value] : plain.items()) {
+        json document = plain;
+        document.erase(name);
+        Reason reason;
+        EXPECT_FALSE(parseGatewaySettings(document.dump(), reason)) << name;
+        EXPECT_TRUE(reason.text.starts_with("$." + name)) << reason.text;
+    }
+}
+
+} // namespace
--- a/modules/tool/src/Tool.cpp
+++ b/modules/tool/src/Tool.cpp
@@ -24,6 +24,7 @@
     Command{"query", "send one query to a daemon", runQuery},
     Command{"status", "show one table over all daemons", runStatus},
     Command{"burn", "report how much of the service-level budgets is burnt", runBurn},
+    Command{"trace", "tell the story of a request from the logs of gateways", runTrace},
 };
 
 void writeHelp(std::ostream &out)
--- a/modules/tool/src/commands/Commands.h
+++ b/modules/tool/src/commands/Commands.h
@@ -14,6 +14,7 @@
 ExitCode runExplain(const std::vector<std::string> &arguments, Terminal &terminal);
 ExitCode runQuery(const std::vector<std::string> &arguments, Terminal &terminal);
 ExitCode runStatus(const std::vector<std::string> &arguments, Terminal &terminal);
+ExitCode runTrace(const std::vector<std::string> &arguments, Terminal &terminal);
 ExitCode runBurn(const std::vector<std::string> &arguments, Terminal &terminal);
 
 } // namespace oleander
