--- a/modules/adapters/src/gateway/IngressSession.cpp
+++ b/modules/adapters/src/gateway/IngressSession.cpp
@@ -24,7 +24,6 @@
 constexpr int statusBadRequest = 400;
 constexpr int statusTooLarge = 413;
 constexpr int statusHeaderTooLarge = 431;
-constexpr int http11 = 11;
 
 std::string_view viewOf(beast::string_view text)
 {
@@ -198,10 +197,10 @@
     m_requestId = request->id;
     const std::uint64_t number = ++m_requestNumber;
     m_call = m_shared->handler(std::move(request),
-                               [weak = weak_from_this(), number](CallerAnswer answer) {
+                               [weak = weak_from_this(), number](const CallerAnswer &answer) {
                                    const auto self = weak.lock();
                                    if (self && number == self->m_requestNumber)
-                                       self->answer(std::move(answer));
+                                       self->answer(answer);
                                });
     // Also while it is answered: only reading shows that the caller has left.
     read();
@@ -224,13 +223,13 @@
     write({status, {}, "request refused: " + error.message() + "\n"});
 }
 
-void IngressSession::answer(CallerAnswer answer)
+void IngressSession::answer(const CallerAnswer &answer)
 {
     m_call.reset();
-    write(std::move(answer));
+    write(answer);
 }
 
-void IngressSession::write(CallerAnswer answer)
+void IngressSession::write(const CallerAnswer &answer)
 {
     m_isClosing = m_isClosing || m_shared->isStopping;
     std::string &text = m_out;
--- a/modules/adapters/src/gateway/IngressSession.h
+++ b/modules/adapters/src/gateway/IngressSession.h
@@ -57,8 +57,8 @@
     void onHeader();
     void onRequest();
     void refuseMalformed(const boost::system::error_code &error);
-    void answer(gateway::CallerAnswer answer);
-    void write(gateway::CallerAnswer answer);
+    void answer(const gateway::CallerAnswer &answer);
+    void write(const gateway::CallerAnswer &answer);
     void onWritten(const boost::system::error_code &error);
     void discardUntilClosed();
 
