--- a/modules/gateway/include/oleander/gateway/Route.h
+++ b/modules/gateway/include/oleander/gateway/Route.h
@@ -3,7 +3,6 @@
 #include <oleander/core/Ids.h>
 #include <oleander/core/Units.h>
 
-#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -18,10 +17,12 @@
 struct WeightedService
 {
     ServiceId service;
-    std::uint32_t weight = 1;
+    /// Relative to the weights of the route's other services.
+    double weight = 1;
 };
 
-/// How the requests of one host and path prefix are served. Either `services` or `shards` is set.
+/// How the requests of one host and path prefix are served. Either `services` or `shards` is set;
+/// a route without both must not come here.
 struct Route
 {
     RouteId id;
