The budget of extra sendings holds in any window, also after a quiet time and a start

Cause: reading the budget against its rule: an instance could spend its saved credit, a whole window's refill and what it earned in one window, 101 where 70 are allowed; 20 instances together 367 of 309. A started process had an allowance saved, so that a rolling restart added one for each. Change: of the allowance 0.4 is refilled, 0.4 can be saved and 0.2 of what is earned; nothing is saved at the start; 0.9 of the fleet's allowance is divided (was 0.6). What another server at an address turned away has not reached the service and is free.

--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -43,7 +43,7 @@
 /// Part of the earned extra load that is used, since instances count requests at other moments.
 constexpr double extraShareUsed = 0.95;
 /// Part of the allowance that is used, for instances that were not heard of.
-constexpr double allowanceUsed = 0.6;
+constexpr double allowanceUsed = 0.9;
 /// Part of a server's connections that is used, for those that are being closed.
 constexpr double connectionsUsed = 0.9;
 /// Number of instances that is assumed until it is known.
--- a/modules/gateway/include/oleander/gateway/ExtraBudget.h
+++ b/modules/gateway/include/oleander/gateway/ExtraBudget.h
@@ -12,7 +12,8 @@
 {
     /// Extra sendings earned by each first one.
     double share = 0.19;
-    /// Extra sendings in a window that need not be earned. Of one instance, hence small.
+    /// Extra sendings in any window that need not be earned. Below 2.5 one more can come, since the
+    /// budget keeps whole ones.
     double allowance = 1.0;
     Duration window = seconds(10);
     /// Of the extra sendings, those that are hedges may be earned at this rate. The rest is kept
@@ -27,8 +28,8 @@
     TimePoint refilled{};
 };
 
-/// A budget with its allowance.
-[[nodiscard]] ExtraBudget freshBudget(const ExtraBudgetRules &rules, TimePoint now);
+/// A budget that has nothing saved.
+[[nodiscard]] ExtraBudget freshBudget(TimePoint now);
 
 /// A request was sent for the first time.
 void earnExtra(ExtraBudget &budget, const ExtraBudgetRules &rules);
--- a/modules/gateway/src/ExtraBudget.cpp
+++ b/modules/gateway/src/ExtraBudget.cpp
@@ -6,36 +6,45 @@
 
 namespace {
 
-/// Credit that can be saved up. With it and the refill, a window never sees more than the rules'
-/// share and twice the allowance.
-double mostCredit(const ExtraBudgetRules &rules)
+// Parts of the allowance. A window can begin with all that was saved, and sees what is refilled and
+// earned in it: together they are the allowance, and what the window's requests earn.
+constexpr double refilledPart = 0.4;
+constexpr double savedPart = 0.4;
+/// What is earned may be spent a little later than the request that earned it.
+constexpr double earnedPart = 0.2;
+/// Hedges that can be saved up.
+constexpr double mostHedges = 3.0;
+
+/// Credit that can be saved up by refilling; one extra sending at least, or there would never be
+/// one.
+double mostRefilled(const ExtraBudgetRules &rules)
 {
-    return std::max(1.0, rules.allowance);
+    return std::max(1.0, rules.allowance * savedPart);
 }
 
 } // namespace
 
-ExtraBudget freshBudget(const ExtraBudgetRules &rules, TimePoint now)
+ExtraBudget freshBudget(TimePoint now)
 {
-    return {mostCredit(rules), 1.0, now};
+    // Nothing is saved yet: many instances may start at once, and more than once in a window.
+    return {0, 1.0, now};
 }
 
 void earnExtra(ExtraBudget &budget, const ExtraBudgetRules &rules)
 {
-    // What is earned may be spent a little later than the request that earned it.
-    constexpr double earnedReserve = 2.0;
-    constexpr double mostHedges = 3.0;
     budget.hedgeCredit = std::min(budget.hedgeCredit + rules.hedgeShare, mostHedges);
-    budget.credit = std::min(budget.credit + rules.share, mostCredit(rules) + earnedReserve);
+    budget.credit =
+        std::min(budget.credit + rules.share, mostRefilled(rules) + earnedPart * rules.allowance);
 }
 
 bool takeExtra(ExtraBudget &budget, const ExtraBudgetRules &rules, ExtraKind kind, TimePoint now)
 {
     const auto passed = static_cast<double>((now - budget.refilled).count());
-    const double refill = rules.allowance * passed / static_cast<double>(rules.window.count());
+    const double refill =
+        refilledPart * rules.allowance * passed / static_cast<double>(rules.window.count());
     budget.refilled = now;
-    if (budget.credit < mostCredit(rules))
-        budget.credit = std::min(budget.credit + refill, mostCredit(rules));
+    if (budget.credit < mostRefilled(rules))
+        budget.credit = std::min(budget.credit + refill, mostRefilled(rules));
     if (budget.credit < 1.0 || (kind == ExtraKind::Hedge && budget.hedgeCredit < 1.0))
         return false;
     budget.credit -= 1.0;
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -83,7 +83,7 @@
     if (!held) {
         held = std::make_unique<ServicePool>();
         held->id = service;
-        held->extras = freshBudget(m_policy.extras, m_context.timer.now());
+        held->extras = freshBudget(m_context.timer.now());
     }
     return *held;
 }
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -169,7 +169,8 @@
 
 void ServiceCall::onEnded(const Attempt &attempt, BackendServer &server, AttemptResult result)
 {
-    m_wasSent = m_wasSent || attempt.isSent;
+    // What another server at the address turned away has not reached the service.
+    m_wasSent = m_wasSent || (attempt.isSent && !result.reply.isMisdirected);
     const bool mayHaveRun = result.end == AttemptEnd::Replied || result.end == AttemptEnd::Lost;
     if (mayHaveRun && std::ranges::find(m_executors, &server) == m_executors.end())
         m_executors.push_back(&server);
--- a/modules/gateway/tests/support/LoadDay.cpp
+++ b/modules/gateway/tests/support/LoadDay.cpp
@@ -124,6 +124,14 @@
     return figures;
 }
 
+int LoadDay::tries(const std::string &path, Duration from, Duration until) const
+{
+    return static_cast<int>(std::ranges::count_if(m_tries, [&](const auto &made) {
+        const Duration time = made.second - (TimePoint{} + seconds(2));
+        return made.first == path && time >= from && time < until;
+    }));
+}
+
 void LoadDay::scheduleNext(const CallerKind &kind)
 {
     const auto wait = std::chrono::duration_cast<Duration>(
@@ -142,6 +150,7 @@
 void LoadDay::ask(const std::shared_ptr<Request> &request)
 {
     --request->triesLeft;
+    m_tries.emplace_back(request->kind.path, m_scheduler.now());
     const Duration left = request->kind.patience - (m_scheduler.now() - request->asked);
     TestInstance &instance = *m_instances[m_random() % m_instances.size()];
     request->received =
--- a/modules/gateway/tests/support/LoadDay.h
+++ b/modules/gateway/tests/support/LoadDay.h
@@ -65,6 +65,9 @@
     /// What became of the requests of a kind that were asked in a span of time.
     [[nodiscard]] LoadFigures figures(const std::string &path, Duration from, Duration until) const;
 
+    /// Tries of callers for requests of a kind, that began in a span of time.
+    [[nodiscard]] int tries(const std::string &path, Duration from, Duration until) const;
+
     [[nodiscard]] SimulatedServers &servers() { return m_servers; }
     [[nodiscard]] VirtualScheduler &scheduler() { return m_scheduler; }
     [[nodiscard]] const LoadShape &shape() const { return m_shape; }
@@ -86,6 +89,7 @@
     std::mt19937_64 m_random;
     std::vector<std::unique_ptr<TestInstance>> m_instances;
     std::vector<std::shared_ptr<Request>> m_requests;
+    std::vector<std::pair<std::string, TimePoint>> m_tries;
     std::uint64_t m_nextId = 0;
 };
 
