Gateway: one place for statuses, one way to refuse later; unused parameters gone

Cause: reading the change as a newcomer: the same status constants stood in five sources, the posting of a refusal in two, and three functions took a time that they did not use. Change: HttpStatus.h, CallBase::refuseLater; noteRefusal was noteFailure. No behaviour changes.

--- a/modules/gateway/include/oleander/gateway/ServerScore.h
+++ b/modules/gateway/include/oleander/gateway/ServerScore.h
@@ -28,11 +28,9 @@
 };
 
 /// A reply came `latency` after the request was sent, where `usual` is usual.
-void noteReply(ServerScore &score, Duration latency, Duration usual, TimePoint now);
-/// A request failed, was lost or was not answered in time.
-void noteFailure(ServerScore &score, TimePoint now);
-/// The server refused a request for load.
-void noteRefusal(ServerScore &score, TimePoint now);
+void noteReply(ServerScore &score, Duration latency, Duration usual);
+/// A request failed or was lost, or the server refused it for load.
+void noteFailure(ServerScore &score);
 void noteLoad(ServerScore &score, const ReportedLoad &load, TimePoint now);
 /// A connection could not be opened. Returns for how long the server is avoided.
 Duration noteFailedOpening(ServerScore &score, TimePoint now);
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -1,3 +1,5 @@
+#include "HttpStatus.h"
+
 #include <oleander/gateway/BackendServer.h>
 
 #include <algorithm>
@@ -170,7 +172,7 @@
         // What was stopped would have taken longer still.
         const TimePoint now = m_context.timer.now();
         if (now - attempt->sentAt > attempt->usualLatency)
-            noteReply(m_score, now - attempt->sentAt, attempt->usualLatency, now);
+            noteReply(m_score, now - attempt->sentAt, attempt->usualLatency);
         m_connections.erase(carrying);
     }
     sendWaiting();
@@ -360,24 +362,23 @@
                               {"cause", "another server has its address"}});
         return;
     }
-    constexpr int firstFailure = 500;
     switch (result.end) {
     case AttemptEnd::NotSent:
         return;
     case AttemptEnd::NotExecuted:
-        noteRefusal(m_score, now);
+        noteFailure(m_score);
         return;
     case AttemptEnd::Lost:
-        noteFailure(m_score, now);
+        noteFailure(m_score);
         return;
     case AttemptEnd::Replied:
-        if (result.reply.status >= firstFailure) {
-            noteFailure(m_score, now);
+        if (result.reply.status >= firstServerErrorStatus) {
+            noteFailure(m_score);
             return;
         }
         if (attempt.latencies)
             attempt.latencies->add(now - attempt.sentAt);
-        noteReply(m_score, now - attempt.sentAt, attempt.usualLatency, now);
+        noteReply(m_score, now - attempt.sentAt, attempt.usualLatency);
         return;
     }
 }
--- a/modules/gateway/src/CallBase.cpp
+++ b/modules/gateway/src/CallBase.cpp
@@ -1,4 +1,5 @@
 #include "Calls.h"
+#include "HttpStatus.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -8,8 +9,6 @@
 
 namespace {
 
-constexpr int statusUnavailable = 503;
-
 TimePoint deadlineOf(const CallerRequest &request, const Route &route, const GatewayPolicy &policy)
 {
     TimePoint deadline = request.arrived + route.timeout;
@@ -106,6 +105,14 @@
             "not run: " + std::string(cause) + "\n"});
 }
 
+void CallBase::refuseLater(std::string_view cause)
+{
+    m_gateway.m_timer.post([self = weak_from_this(), cause] {
+        if (const auto call = self.lock())
+            call->refuse(cause);
+    });
+}
+
 void CallBase::fail(int status, std::string_view cause)
 {
     ++m_gateway.m_counts.failed;
--- a/modules/gateway/src/Calls.h
+++ b/modules/gateway/src/Calls.h
@@ -42,6 +42,8 @@
     void answer(CallerAnswer answer);
     /// Refuses: the request has not been executed and never will be.
     void refuse(std::string_view cause);
+    /// The same, after the event that is being handled; the cause must be a literal.
+    void refuseLater(std::string_view cause);
     /// Ends without a result, though a server may have executed the request.
     void fail(int status, std::string_view cause);
     [[nodiscard]] bool isAnswered() const { return !m_answer; }
--- a/modules/gateway/src/ForwardCall.cpp
+++ b/modules/gateway/src/ForwardCall.cpp
@@ -1,4 +1,5 @@
 #include "Calls.h"
+#include "HttpStatus.h"
 
 #include <algorithm>
 
@@ -6,8 +7,6 @@
 
 namespace {
 
-constexpr int statusBadGateway = 502;
-constexpr int statusTimeout = 504;
 /// Statuses by which a server would promise that the request has not run.
 constexpr std::array promisingStatuses{408, 421, 429, 503};
 
@@ -19,10 +18,7 @@
     const ServiceCallPlan plan =
         planFor(service, m_deadline, std::min(m_deadline, m_request->arrived + m_route.objective));
     if (!plan.pool->hasUsableServer()) {
-        m_gateway.m_timer.post([self = weak_from_this()] {
-            if (const auto call = std::static_pointer_cast<ForwardCall>(self.lock()))
-                call->refuse("no server of the service");
-        });
+        refuseLater("no server of the service");
         return;
     }
     m_call = std::make_shared<ServiceCall>(m_gateway.m_fleet, m_gateway.m_timer, plan);
@@ -62,8 +58,6 @@
         return;
     }
     ServerReply &reply = *outcome.reply;
-    constexpr int firstFailure = 400;
-    constexpr int firstServerError = 500;
     const bool isPromise =
         std::ranges::find(promisingStatuses, reply.status) != promisingStatuses.end();
     if (isPromise) {
@@ -71,11 +65,11 @@
         fail(statusBadGateway, "server failed");
         return;
     }
-    if (reply.receipt.empty() && reply.status < firstServerError) {
+    if (reply.receipt.empty() && reply.status < firstServerErrorStatus) {
         fail(statusBadGateway, "server gave no receipt");
         return;
     }
-    if (reply.status < firstFailure)
+    if (reply.status < firstFailureStatus)
         ++m_gateway.m_counts.answered;
     else
         ++m_gateway.m_counts.failed;
--- a/modules/gateway/src/Gateway.cpp
+++ b/modules/gateway/src/Gateway.cpp
@@ -1,16 +1,10 @@
 #include "Calls.h"
+#include "HttpStatus.h"
 
 #include <utility>
 
 namespace oleander::gateway {
 
-namespace {
-
-constexpr int statusNotFound = 404;
-constexpr int statusUnavailable = 503;
-
-} // namespace
-
 Gateway::Gateway(ServerFleet &fleet, TimerService &timer, RandomSource &random, EventLog &log,
                  const GatewayPolicy &policy, GatheredFields gatheredFields)
     : m_fleet(fleet)
--- a/modules/gateway/src/GatherCall.cpp
+++ b/modules/gateway/src/GatherCall.cpp
@@ -1,4 +1,5 @@
 #include "Calls.h"
+#include "HttpStatus.h"
 
 #include <oleander/gateway/RecordMerge.h>
 
@@ -8,10 +9,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusBadGateway = 502;
-constexpr int statusTimeout = 504;
-
 bool isPart(const ServiceOutcome &outcome)
 {
     return outcome.reply && outcome.reply->status == statusOk && !outcome.reply->receipt.empty();
@@ -26,10 +23,7 @@
         return m_gateway.m_fleet.pool(shard).hasUsableServer();
     });
     if (static_cast<std::size_t>(reachable) < required) {
-        m_gateway.m_timer.post([self = weak_from_this()] {
-            if (const auto call = std::static_pointer_cast<GatherCall>(self.lock()))
-                call->refuse("too many shards without a server");
-        });
+        refuseLater("too many shards without a server");
         return;
     }
     m_parts.reserve(m_route.shards.size());
--- a/modules/gateway/src/ServerScore.cpp
+++ b/modules/gateway/src/ServerScore.cpp
@@ -43,9 +43,8 @@
 
 } // namespace
 
-void noteReply(ServerScore &score, Duration latency, Duration usual, TimePoint now)
+void noteReply(ServerScore &score, Duration latency, Duration usual)
 {
-    static_cast<void>(now);
     score.failureShare = towards(score.failureShare, 0);
     if (usual <= Duration{})
         return;
@@ -55,17 +54,11 @@
         towards(score.slowness, std::clamp(relative, smallestSlowness, largestSlowness));
 }
 
-void noteFailure(ServerScore &score, TimePoint now)
+void noteFailure(ServerScore &score)
 {
-    static_cast<void>(now);
     score.failureShare = towards(score.failureShare, 1);
 }
 
-void noteRefusal(ServerScore &score, TimePoint now)
-{
-    noteFailure(score, now);
-}
-
 void noteLoad(ServerScore &score, const ReportedLoad &load, TimePoint now)
 {
     score.load = load;
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -1,3 +1,5 @@
+#include "HttpStatus.h"
+
 #include <oleander/gateway/ServiceCall.h>
 
 #include <algorithm>
@@ -5,12 +7,6 @@
 
 namespace oleander::gateway {
 
-namespace {
-
-constexpr int firstServerError = 500;
-
-} // namespace
-
 ServiceCall::ServiceCall(ServerFleet &fleet, TimerService &timer, ServiceCallPlan plan)
     : m_fleet(fleet)
     , m_timer(timer)
@@ -194,7 +190,7 @@
 
 void ServiceCall::onReplied(AttemptResult result)
 {
-    const bool isFailure = result.reply.status >= firstServerError;
+    const bool isFailure = result.reply.status >= firstServerErrorStatus;
     if (!isFailure || m_plan.repeatability == Repeatability::AtMostOnce) {
         finishWith({std::move(result.reply), RanState::Ran});
         return;
--- a/modules/gateway/tests/DecisionsTest.cpp
+++ b/modules/gateway/tests/DecisionsTest.cpp
@@ -142,10 +142,10 @@
 TEST_F(ServerChoice, SlowServerGetsAFewRequestsThatShowItsRecovery)
 {
     for (int reply = 0; reply < 30; ++reply)
-        noteReply(first, milliseconds(80), milliseconds(20), now);
+        noteReply(first, milliseconds(80), milliseconds(20));
     EXPECT_LT(shareOfFirst(), 0.02);
     for (int reply = 0; reply < 30; ++reply)
-        noteReply(first, milliseconds(20), milliseconds(20), now);
+        noteReply(first, milliseconds(20), milliseconds(20));
     EXPECT_GT(shareOfFirst(), 0.45);
 }
 
