--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -366,8 +366,6 @@
     case AttemptEnd::NotSent:
         return;
     case AttemptEnd::NotExecuted:
-        noteFailure(m_score);
-        return;
     case AttemptEnd::Lost:
         noteFailure(m_score);
         return;
