--- a/modules/adapters/include/oleander/adapters/gateway/CallerIngress.h
+++ b/modules/adapters/include/oleander/adapters/gateway/CallerIngress.h
@@ -46,8 +46,8 @@
     /// Bounds that hold for requests that begin from now on.
     void setLimits(const gateway::CallerLimits &limits);
     void setMaximumConnections(std::size_t maximum);
-    /// Begins to accept.
-    bool listen(const Address &address, Reason &reason);
+    /// Begins to accept; port 0 lets the system choose. Returns the port.
+    std::optional<std::uint16_t> listen(const Address &address, Reason &reason);
 
     // Stopping
     /// Each answer from now on asks the caller to close its connection.
--- a/modules/adapters/src/gateway/CallerIngress.cpp
+++ b/modules/adapters/src/gateway/CallerIngress.cpp
@@ -32,7 +32,7 @@
 
     void setMaximumConnections(std::size_t maximum) { m_maximum = maximum; }
 
-    bool listen(const Address &address, Reason &reason)
+    std::optional<std::uint16_t> listen(const Address &address, Reason &reason)
     {
         error_code error;
         const tcp::endpoint endpoint(asio::ip::make_address(address.number, error), address.port);
@@ -48,14 +48,14 @@
             reason.set(ErrorKind::Internal, "can not listen on " + address.number + ":"
                                                 + std::to_string(address.port) + ": "
                                                 + error.message());
-            return false;
+            return std::nullopt;
         }
         m_overdue = m_shared->timer.callEvery(overduePeriod, [this](const TimerTick &tick) {
             forEachSession(
                 [&tick](IngressSession &session) { session.closeIfOverdue(tick.fired); });
         });
         accept();
-        return true;
+        return m_acceptor.local_endpoint().port();
     }
 
     void closeIdle()
@@ -178,7 +178,7 @@
     m_impl->setMaximumConnections(maximum);
 }
 
-bool CallerIngress::listen(const Address &address, Reason &reason)
+std::optional<std::uint16_t> CallerIngress::listen(const Address &address, Reason &reason)
 {
     return m_impl->listen(address, reason);
 }
--- a/modules/daemon/include/oleander/daemon/GatewayDaemon.h
+++ b/modules/daemon/include/oleander/daemon/GatewayDaemon.h
@@ -3,10 +3,21 @@
 #include <oleander/daemon/GatewayPlatform.h>
 #include <oleander/settings/GatewaySettings.h>
 
+#include <cstdint>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace oleander {
 
+/// The TCP ports that a gateway listens on.
+struct GatewayPorts
+{
+    std::uint16_t callers = 0;
+    std::uint16_t readiness = 0;
+    std::uint16_t metrics = 0;
+};
+
 /// One gateway process: a single thread that takes callers, reads the platform's registry, and
 /// sends to backend servers.
 ///
@@ -21,8 +32,9 @@
     GatewayDaemon &operator=(const GatewayDaemon &) = delete;
     ~GatewayDaemon();
 
-    /// Opens the listeners. Fails with a reason when an address is taken.
-    bool start(Reason &reason);
+    /// Opens the listeners and begins to read the registry. A port of 0 in the settings lets the
+    /// system choose one. Fails with a reason when an address is taken.
+    std::optional<GatewayPorts> start(Reason &reason);
     /// Serves until a graceful stop has ended.
     void run();
 
--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -109,15 +109,21 @@
         m_metrics.addPage("/metrics", [this](const std::string &) { return metricsPage(); });
     }
 
-    bool start(Reason &reason)
+    std::optional<GatewayPorts> start(Reason &reason)
     {
         m_ingress.setMaximumConnections(static_cast<std::size_t>(
             std::max(1, (m_settings.descriptors - reservedDescriptors) / shareForCallers)));
-        if (!m_ingress.listen(m_settings.callerAddress, reason)
-            || !m_pages.listen(addressText(m_settings.readinessAddress), reason)
-            || !m_beacon.start(m_settings.beaconAddress, m_settings.seeds, reason)
-            || !m_metrics.listen(addressText(m_settings.metricsAddress), reason))
-            return false;
+        const auto callers = m_ingress.listen(m_settings.callerAddress, reason);
+        if (!callers)
+            return std::nullopt;
+        const auto readiness = m_pages.listen(addressText(m_settings.readinessAddress), reason);
+        if (!readiness)
+            return std::nullopt;
+        const auto metrics = m_metrics.listen(addressText(m_settings.metricsAddress), reason);
+        if (!metrics)
+            return std::nullopt;
+        if (!m_beacon.start(m_settings.beaconAddress, m_settings.seeds, reason))
+            return std::nullopt;
         awaitSignal();
         m_follower.start();
         m_started = m_timer.now();
@@ -129,8 +135,8 @@
         });
         m_log.record(EventId::DaemonStarted, {},
                      {{"dataCentre", m_settings.dataCentre.text()},
-                      {"callers", addressText(m_settings.callerAddress)}});
-        return true;
+                      {"callers", addressText({m_settings.callerAddress.number, *callers})}});
+        return GatewayPorts{*callers, *readiness, *metrics};
     }
 
     void run() { m_context.run(); }
@@ -343,7 +349,7 @@
 
 GatewayDaemon::~GatewayDaemon() = default;
 
-bool GatewayDaemon::start(Reason &reason)
+std::optional<GatewayPorts> GatewayDaemon::start(Reason &reason)
 {
     return m_impl->start(reason);
 }
