Few instances read the registry and tell the others

Cause: each instance asked the store for itself.

Change: the seeds of the settings read the store each 1.2 s; the others ask one of them, of their own data centre if there is one, over the HTTP/2 calls between instances. RegistryCopy keeps what matters (renewals that say nothing new are not noted), RegistryShare answers with what changed and the age of the content, SharedRegistryReader chooses: a reader that is silent, or whose content is older than 1.9 s, is left alone until it is heard of anew and the same call goes on to the store, so a lost reader costs one wait of 1.05 s at most. An instance that knows nothing and finds the store away takes old content rather than none. The beacon tells who reads and where; `beaconAddress` becomes `peerAddress`, and `fleetKey` keeps fleets apart.

Its age was that of the last answer: full batches and single pages of a list made content look young that was behind, which now others rely on. And when the store gave up its history for seconds on end it read everything again without a pause (2 calls each 10 ms). Tests: FullBatchesDoNotMakeTheContentYoung, AgeIsThatOfTheContentAndNotOfTheLastAnswer, HistoryThatIsGoneAgainAndAgainIsReadAtAPace; each failed before.

Ruled out: lists instead of watches (0.3 to 0.7 calls a second and instance against 0.02); `serializable` reads, which may be seconds old; an election of readers (the seeds are in everybody's settings, and a wrong choice costs a wait only).

The checks of age, revision and silence were taken out one by one; a test failed for each.

--- a/modules/adapters/include/oleander/adapters/gateway/FleetBeacon.h
+++ b/modules/adapters/include/oleander/adapters/gateway/FleetBeacon.h
@@ -5,8 +5,11 @@
 #include <oleander/ports/TimerService.h>
 #include <oleander/settings/Address.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace boost::asio {
@@ -15,27 +18,43 @@
 
 namespace oleander {
 
+/// What an instance says of itself.
+struct BeaconNews
+{
+    InstanceId instance;
+    DataCentreId dataCentre;
+    /// How many instances it has heard of.
+    std::size_t heardOf = 0;
+    /// TCP port for calls of other instances.
+    std::uint16_t peerPort = 0;
+    /// True when it reads the registry for others.
+    bool isReader = false;
+};
+
 /// Tells a few seed instances over UDP that this instance is there, and hears from them how many
-/// have told them. All instances use the same port.
+/// have told them. All instances use the same UDP port.
 ///
-/// Datagrams are JSON: `{"instance": NAME, "heardOf": COUNT, "isReply": BOOL}`. One that is lost is
-/// made up by the next.
+/// Datagrams are JSON: `{"instance": NAME, "dataCentre": NAME, "heardOf": COUNT, "peerPort":
+/// PORT, "isReader": BOOL, "isReply": BOOL}`. One that is lost is made up by the next.
 class FleetBeacon
 {
 public:
-    /// Another instance was heard of; it has heard of `count`.
-    using Listener = std::function<void(const InstanceId &instance, std::size_t count)>;
-    using HeardOf = std::function<std::size_t()>;
+    /// Another instance, at this IP number, was heard of.
+    using Listener = std::function<void(const BeaconNews &news, const std::string &number)>;
+    /// Gives what this instance says of itself now.
+    using Source = std::function<BeaconNews()>;
 
     /// The context must outlive the beacon.
-    FleetBeacon(boost::asio::io_context &context, TimerService &timer, InstanceId self,
-                Listener listener, HeardOf heardOf);
+    FleetBeacon(boost::asio::io_context &context, TimerService &timer, Source source,
+                Listener listener);
     FleetBeacon(const FleetBeacon &) = delete;
     FleetBeacon &operator=(const FleetBeacon &) = delete;
     ~FleetBeacon();
 
-    /// Begins to listen on the address, and to call the same port of each seed.
-    bool start(const Address &address, const std::vector<Address> &seeds, Reason &reason);
+    /// Begins to listen on the address, and to call the same port of each seed; port 0 lets the
+    /// system choose. Returns the port.
+    std::optional<std::uint16_t> start(const Address &address, const std::vector<Address> &seeds,
+                                       Reason &reason);
 
 private:
     class Impl;
--- a/modules/adapters/src/gateway/FleetBeacon.cpp
+++ b/modules/adapters/src/gateway/FleetBeacon.cpp
@@ -26,32 +26,35 @@
 
 struct Message
 {
-    InstanceId instance;
-    std::size_t heardOf = 0;
+    BeaconNews news;
     bool isReply = false;
 };
 
 std::string encode(const Message &message)
 {
-    return json{{"instance", message.instance.text()},
-                {"heardOf", message.heardOf},
-                {"isReply", message.isReply}}
+    return json{
+        {"instance", message.news.instance.text()}, {"dataCentre", message.news.dataCentre.text()},
+        {"heardOf", message.news.heardOf},          {"peerPort", message.news.peerPort},
+        {"isReader", message.news.isReader},        {"isReply", message.isReply}}
         .dump();
 }
 
 std::optional<Message> decode(std::string_view text)
 {
-    const json document = json::parse(text, nullptr, false);
-    if (!document.is_object())
+    try {
+        const json document = json::parse(text);
+        const json &heardOf = document.at("heardOf");
+        if (!heardOf.is_number_unsigned())
+            return std::nullopt;
+        return Message{{InstanceId(document.at("instance").get<std::string>()),
+                        DataCentreId(document.at("dataCentre").get<std::string>()),
+                        heardOf.get<std::size_t>(), document.at("peerPort").get<std::uint16_t>(),
+                        document.at("isReader").get<bool>()},
+                       document.at("isReply").get<bool>()};
+    } catch (const json::exception &) {
+        // Whatever a stranger sends to the port; it names no instance.
         return std::nullopt;
-    const auto instance = document.find("instance");
-    const auto heardOf = document.find("heardOf");
-    const auto isReply = document.find("isReply");
-    if (instance == document.end() || !instance->is_string() || heardOf == document.end()
-        || !heardOf->is_number_unsigned() || isReply == document.end() || !isReply->is_boolean())
-        return std::nullopt;
-    return Message{InstanceId(instance->get<std::string>()), heardOf->get<std::size_t>(),
-                   isReply->get<bool>()};
+    }
 }
 
 } // namespace
@@ -59,17 +62,16 @@
 class FleetBeacon::Impl : public std::enable_shared_from_this<FleetBeacon::Impl>
 {
 public:
-    Impl(asio::io_context &context, TimerService &timer, InstanceId self, Listener listener,
-         HeardOf heardOf)
+    Impl(asio::io_context &context, TimerService &timer, Source source, Listener listener)
         : m_timer(timer)
-        , m_self(std::move(self))
+        , m_source(std::move(source))
         , m_listener(std::move(listener))
-        , m_heardOf(std::move(heardOf))
         , m_socket(context)
     {
     }
 
-    bool start(const Address &address, const std::vector<Address> &seeds, Reason &reason)
+    std::optional<std::uint16_t> start(const Address &address, const std::vector<Address> &seeds,
+                                       Reason &reason)
     {
         error_code error;
         const udp::endpoint endpoint(asio::ip::make_address(address.number, error), address.port);
@@ -83,16 +85,17 @@
             reason.set(ErrorKind::Internal, "beacon can not listen on " + address.number + ":"
                                                 + std::to_string(address.port) + ": "
                                                 + error.message());
-            return false;
+            return std::nullopt;
         }
+        const std::uint16_t port = m_socket.local_endpoint().port();
         for (const Address &seed : seeds) {
             const auto number = asio::ip::make_address(seed.number, error);
             if (!error && seed.number != address.number)
-                m_seeds.emplace_back(number, address.port);
+                m_seeds.emplace_back(number, port);
         }
         receive();
         call();
-        return true;
+        return port;
     }
 
     void stop()
@@ -107,7 +110,7 @@
     void call()
     {
         for (const udp::endpoint &seed : m_seeds)
-            send({m_self, m_heardOf(), false}, seed);
+            send({m_source(), false}, seed);
         const Duration period = ++m_calls <= quickCalls ? firstPeriod : laterPeriod;
         m_next = m_timer.callAfter(period, [this](const TimerTick &) { call(); });
     }
@@ -136,17 +139,16 @@
         const auto message =
             error ? std::nullopt : decode(std::string_view(m_buffer.data(), count));
         if (message) {
-            m_listener(message->instance, message->heardOf);
+            m_listener(message->news, m_sender.address().to_string());
             if (!message->isReply)
-                send({m_self, m_heardOf(), true}, m_sender);
+                send({m_source(), true}, m_sender);
         }
         receive();
     }
 
     TimerService &m_timer;
-    InstanceId m_self;
+    Source m_source;
     Listener m_listener;
-    HeardOf m_heardOf;
     udp::socket m_socket;
     udp::endpoint m_sender;
     std::array<char, largestDatagram> m_buffer{};
@@ -155,10 +157,9 @@
     Subscription m_next;
 };
 
-FleetBeacon::FleetBeacon(asio::io_context &context, TimerService &timer, InstanceId self,
-                         Listener listener, HeardOf heardOf)
-    : m_impl(std::make_shared<Impl>(context, timer, std::move(self), std::move(listener),
-                                    std::move(heardOf)))
+FleetBeacon::FleetBeacon(asio::io_context &context, TimerService &timer, Source source,
+                         Listener listener)
+    : m_impl(std::make_shared<Impl>(context, timer, std::move(source), std::move(listener)))
 {
 }
 
@@ -167,7 +168,8 @@
     m_impl->stop();
 }
 
-bool FleetBeacon::start(const Address &address, const std::vector<Address> &seeds, Reason &reason)
+std::optional<std::uint16_t> FleetBeacon::start(const Address &address,
+                                                const std::vector<Address> &seeds, Reason &reason)
 {
     return m_impl->start(address, seeds, reason);
 }
--- a/modules/adapters/src/peers/PeerCodec.cpp
+++ b/modules/adapters/src/peers/PeerCodec.cpp
@@ -10,6 +10,8 @@
 constexpr const char *queryName = "query";
 constexpr const char *answerName = "answer";
 constexpr const char *viewsName = "views";
+constexpr const char *registryQuestionName = "registryQuestion";
+constexpr const char *registryNewsName = "registryNews";
 
 constexpr std::size_t maximumListSize = 65536;
 constexpr std::size_t maximumMapSize = 64;
@@ -74,8 +76,10 @@
     return std::nullopt;
 }
 
-template <typename First, typename Result>
-std::optional<Result> decode(std::string_view bytes, std::string_view firstName, Reason &reason)
+/// `First` and `Last` are the messages that only requests, or only replies, may be.
+template <typename First, typename Last, typename Result>
+std::optional<Result> decode(std::string_view bytes, std::string_view firstName,
+                             std::string_view lastName, Reason &reason)
 {
     const std::optional<Envelope> envelope = openEnvelope(bytes, reason);
     if (!envelope)
@@ -84,6 +88,8 @@
         return decodeMembers<First, Result>(*envelope, reason);
     if (envelope->name == viewsName)
         return decodeMembers<ViewExchange, Result>(*envelope, reason);
+    if (envelope->name == lastName)
+        return decodeMembers<Last, Result>(*envelope, reason);
     reason.set(ErrorKind::BadRequest, "unknown kind of message between daemons");
     return std::nullopt;
 }
@@ -94,6 +100,8 @@
 {
     if (const auto *query = std::get_if<PeerQuery>(&request))
         return encode(queryName, *query);
+    if (const auto *question = std::get_if<RegistryQuestion>(&request))
+        return encode(registryQuestionName, *question);
     return encode(viewsName, std::get<ViewExchange>(request));
 }
 
@@ -101,17 +109,20 @@
 {
     if (const auto *answer = std::get_if<PeerAnswer>(&reply))
         return encode(answerName, *answer);
+    if (const auto *news = std::get_if<RegistryNews>(&reply))
+        return encode(registryNewsName, *news);
     return encode(viewsName, std::get<ViewExchange>(reply));
 }
 
 std::optional<PeerRequest> decodePeerRequest(std::string_view bytes, Reason &reason)
 {
-    return decode<PeerQuery, PeerRequest>(bytes, queryName, reason);
+    return decode<PeerQuery, RegistryQuestion, PeerRequest>(bytes, queryName, registryQuestionName,
+                                                            reason);
 }
 
 std::optional<PeerReply> decodePeerReply(std::string_view bytes, Reason &reason)
 {
-    return decode<PeerAnswer, PeerReply>(bytes, answerName, reason);
+    return decode<PeerAnswer, RegistryNews, PeerReply>(bytes, answerName, registryNewsName, reason);
 }
 
 } // namespace oleander
--- a/modules/adapters/src/peers/PeerFields.h
+++ b/modules/adapters/src/peers/PeerFields.h
@@ -144,6 +144,33 @@
     visitor("stopping", isStopping);
 }
 
+template <Is<RegistryQuestion> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[after, wait] = message;
+    visitor("after", after);
+    visitor("wait", wait);
+}
+
+template <Is<RegistryNewsItem> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[key, value, isRemoved] = message;
+    visitor("key", key);
+    visitor("value", value);
+    visitor("removed", isRemoved);
+}
+
+template <Is<RegistryNews> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[isKnown, items, revision, age] = message;
+    visitor("known", isKnown);
+    visitor("items", items);
+    visitor("revision", revision);
+    visitor("age", age);
+}
+
 /// Anything that has members to visit.
 template <typename T>
 concept Message = requires(T &message)
--- a/modules/adapters/tests/gateway/FleetBeaconTest.cpp
+++ b/modules/adapters/tests/gateway/FleetBeaconTest.cpp
@@ -17,17 +17,23 @@
     Instance(boost::asio::io_context &context, TimerService &timer, const std::string &name)
         : size(InstanceId(name))
         , beacon(
-              context, timer, InstanceId(name),
-              [this](const InstanceId &other, std::size_t count) {
-                  size.hear(other);
-                  size.report(count);
+              context, timer,
+              [this, name] {
+                  return BeaconNews{InstanceId(name), DataCentreId("here"), size.heardOf(), 7,
+                                    name == "i-1"};
               },
-              [this] { return size.heardOf(); })
+              [this](const BeaconNews &news, const std::string &number) {
+                  size.hear(news.instance);
+                  size.report(news.heardOf);
+                  if (news.isReader)
+                      reader = number;
+              })
     {
     }
 
     gateway::FleetSize size;
     FleetBeacon beacon;
+    std::string reader;
 };
 
 // All of 127.0.0.0/8 is this machine, so that instances share a port as they do on a platform.
@@ -35,21 +41,18 @@
 {
     boost::asio::io_context context;
     AsioTimerService timer(context);
+    // The first instance takes any free port.
     std::uint16_t port = 0;
-    {
-        const boost::asio::ip::udp::socket probe(context,
-                                                 {boost::asio::ip::make_address("127.0.0.1"), 0});
-        port = probe.local_endpoint().port();
-    }
     const std::vector<Address> seeds{{"127.0.0.1", 1}};
     std::vector<std::unique_ptr<Instance>> instances;
     for (int number = 1; number <= 4; ++number) {
         instances.push_back(
             std::make_unique<Instance>(context, timer, "i-" + std::to_string(number)));
         Reason reason;
-        ASSERT_TRUE(instances.back()->beacon.start({"127.0.0." + std::to_string(number), port},
-                                                   seeds, reason))
-            << reason.text;
+        const auto opened = instances.back()->beacon.start(
+            {"127.0.0." + std::to_string(number), port}, seeds, reason);
+        ASSERT_TRUE(opened) << reason.text;
+        port = *opened;
     }
     boost::asio::ip::udp::socket stranger(context, boost::asio::ip::udp::v4());
     const std::string noise = "{\"instance\":7}";
@@ -58,6 +61,7 @@
     context.run_for(std::chrono::seconds(2));
     for (const auto &instance : instances)
         EXPECT_EQ(instance->size.estimate(), 4U);
+    EXPECT_EQ(instances.back()->reader, "127.0.0.1");
 }
 
 } // namespace
--- a/modules/adapters/tests/peers/PeerCodecTest.cpp
+++ b/modules/adapters/tests/peers/PeerCodecTest.cpp
@@ -41,18 +41,46 @@
     return views;
 }
 
-PeerRequest request()
+RegistryQuestion registryQuestion()
 {
+    RegistryQuestion question;
     if (*rc::gen::arbitrary<bool>())
+        question.after = *rc::gen::arbitrary<std::uint64_t>();
+    question.wait = *generators::duration();
+    return question;
+}
+
+RegistryNews registryNews()
+{
+    RegistryNews news;
+    news.isKnown = *rc::gen::arbitrary<bool>();
+    for (int count = *rc::gen::inRange(0, 4); count > 0; --count) {
+        news.items.push_back({*rc::gen::arbitrary<std::string>(),
+                              *rc::gen::arbitrary<std::string>(), *rc::gen::arbitrary<bool>()});
+    }
+    news.revision = *rc::gen::arbitrary<std::uint64_t>();
+    news.age = *generators::duration();
+    return news;
+}
+
+PeerRequest request()
+{
+    const int kind = *rc::gen::inRange(0, 3);
+    if (kind == 0)
         return views();
+    if (kind == 1)
+        return registryQuestion();
     return PeerQuery{InstanceId(*generators::text(0, 9)), generators::query(),
                      *generators::duration(), SectionVersion(3), SectionVersion(4)};
 }
 
 PeerReply reply()
 {
-    if (*rc::gen::arbitrary<bool>())
+    const int kind = *rc::gen::inRange(0, 3);
+    if (kind == 0)
         return views();
+    if (kind == 1)
+        return registryNews();
     return PeerAnswer{generators::answer(), SectionVersion(5), SectionVersion(6)};
 }
 
--- a/modules/core/include/oleander/core/Event.h
+++ b/modules/core/include/oleander/core/Event.h
@@ -29,6 +29,8 @@
     RegistrationUnreadable = 222,
     ServerRegistered = 223,
     ServerGone = 224,
+    RegistrySourceChanged = 225,
+    RegistryReaderFailed = 226,
     QueryRefused = 300,
     QueryPartial = 301,
     QueryFailed = 302,
--- a/modules/daemon/include/oleander/daemon/GatewayDaemon.h
+++ b/modules/daemon/include/oleander/daemon/GatewayDaemon.h
@@ -10,12 +10,14 @@
 
 namespace oleander {
 
-/// The TCP ports that a gateway listens on.
+/// The ports that a gateway listens on: TCP, but for that of the beacon, which is UDP.
 struct GatewayPorts
 {
     std::uint16_t callers = 0;
     std::uint16_t readiness = 0;
     std::uint16_t metrics = 0;
+    std::uint16_t peers = 0;
+    std::uint16_t beacon = 0;
 };
 
 /// One gateway process: a single thread that takes callers, reads the platform's registry, and
--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -6,14 +6,18 @@
 #include <oleander/adapters/log/JsonEventLog.h>
 #include <oleander/adapters/metrics/PrometheusText.h>
 #include <oleander/adapters/operators/OperatorServer.h>
+#include <oleander/adapters/peers/Http2PeerNetwork.h>
 #include <oleander/adapters/time/AsioTimerService.h>
 #include <oleander/adapters/time/SeededRandom.h>
 #include <oleander/daemon/GatewayDaemon.h>
 #include <oleander/gateway/FleetSize.h>
+#include <oleander/gateway/RegistryShare.h>
+#include <oleander/gateway/SharedRegistryReader.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -46,6 +50,10 @@
 constexpr double allowanceUsed = 0.9;
 /// Part of a server's connections that is used, for those that are being closed.
 constexpr double connectionsUsed = 0.9;
+/// Least time between two watches of an instance that reads for others: what they know is older by
+/// their own wait when it is lost.
+constexpr Duration readerPeriod = milliseconds(1200);
+constexpr const char *fleetName = "gateway";
 /// Number of instances that is assumed until it is known.
 constexpr std::size_t assumedInstances = 100;
 
@@ -58,6 +66,22 @@
     return policy;
 }
 
+/// The seeds read the registry for the others: the settings of all instances name the same ones.
+bool isReader(const GatewaySettings &settings)
+{
+    return std::ranges::any_of(settings.seeds, [&](const Address &seed) {
+        return seed.number == settings.peerAddress.number;
+    });
+}
+
+gateway::FollowPace paceOf(const GatewaySettings &settings)
+{
+    gateway::FollowPace pace;
+    if (isReader(settings))
+        pace.leastPeriod = readerPeriod;
+    return pace;
+}
+
 std::string addressText(const Address &address)
 {
     return address.number + ":" + std::to_string(address.port);
@@ -65,7 +89,7 @@
 
 } // namespace
 
-class GatewayDaemon::Impl
+class GatewayDaemon::Impl : private PeerHandler, private gateway::RegistryListener
 {
 public:
     Impl(GatewaySettings newSettings, std::string newPath, GatewayPlatform newPlatform)
@@ -88,7 +112,14 @@
                      configure(std::move(configuration));
                  })
         , m_registry(m_platform.openRegistry(m_context, m_timer, m_settings.registryAddress))
-        , m_follower(m_platform.registryPrefix, {}, *m_registry, m_view, m_timer, m_random, m_log)
+        , m_peers(m_context, m_timer, m_log,
+                  {m_settings.instance, FleetId(fleetName), m_settings.fleetKey})
+        , m_sharedRegistry({m_settings.instance, m_settings.dataCentre, isReader(m_settings)},
+                           *m_registry, m_peers, m_timer, m_log)
+        , m_follower(m_platform.registryPrefix, paceOf(m_settings), m_sharedRegistry, *this,
+                     m_timer, m_random, m_log)
+        , m_share(
+              m_view.copy(), [this] { return m_follower.age(); }, m_timer)
         , m_ingress(m_context, m_timer, m_platform.headers,
                     [this](std::shared_ptr<const gateway::CallerRequest> request,
                            gateway::AnswerCallback answer) {
@@ -96,9 +127,13 @@
                     })
         , m_fleetSize(m_settings.instance)
         , m_beacon(
-              m_context, m_timer, m_settings.instance,
-              [this](const InstanceId &other, std::size_t count) { hear(other, count); },
-              [this] { return m_fleetSize.heardOf(); })
+              m_context, m_timer,
+              [this] {
+                  return BeaconNews{m_settings.instance, m_settings.dataCentre,
+                                    m_fleetSize.heardOf(), m_peerPort,
+                                    !m_isStopping && isReader(m_settings)};
+              },
+              [this](const BeaconNews &news, const std::string &number) { hear(news, number); })
         , m_pages(m_context)
         , m_metrics(m_context)
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
@@ -122,8 +157,14 @@
         const auto metrics = m_metrics.listen(addressText(m_settings.metricsAddress), reason);
         if (!metrics)
             return std::nullopt;
-        if (!m_beacon.start(m_settings.beaconAddress, m_settings.seeds, reason))
+        const auto peers = m_peers.listen(addressText(m_settings.peerAddress), reason);
+        if (!peers)
+            return std::nullopt;
+        m_peerPort = *peers;
+        const auto beacon = m_beacon.start(m_settings.peerAddress, m_settings.seeds, reason);
+        if (!beacon)
             return std::nullopt;
+        m_peers.setHandler(this);
         awaitSignal();
         m_follower.start();
         m_started = m_timer.now();
@@ -136,7 +177,7 @@
         m_log.record(EventId::DaemonStarted, {},
                      {{"dataCentre", m_settings.dataCentre.text()},
                       {"callers", addressText({m_settings.callerAddress.number, *callers})}});
-        return GatewayPorts{*callers, *readiness, *metrics};
+        return GatewayPorts{*callers, *readiness, *metrics, *peers, *beacon};
     }
 
     void run() { m_context.run(); }
@@ -148,11 +189,45 @@
         m_ingress.setLimits(m_gateway.routes()->configuration().limits);
     }
 
-    void hear(const InstanceId &other, std::size_t count)
+    // RegistryListener
+    void onItems(const std::vector<gateway::RegistryItem> &items,
+                 gateway::RegistryRevision revision) override
+    {
+        m_view.onItems(items, revision);
+        m_share.onChanged();
+    }
+    void onChanges(const std::vector<gateway::RegistryItem> &changes,
+                   gateway::RegistryRevision revision) override
+    {
+        m_view.onChanges(changes, revision);
+        m_share.onChanged();
+    }
+    void onReturned(Duration outage) override { m_view.onReturned(outage); }
+
+    // PeerHandler
+    void onPeerRequest(PeerRequest request, std::shared_ptr<PeerResponder> responder) override
+    {
+        const auto *question = std::get_if<RegistryQuestion>(&request);
+        if (!question || m_isStopping) {
+            responder->refuse();
+            return;
+        }
+        m_share.ask(*question,
+                    [responder](RegistryNews news) { responder->reply(std::move(news)); });
+    }
+
+    void hear(const BeaconNews &news, const std::string &number)
     {
         const auto before = m_fleetSize.estimate();
-        m_fleetSize.hear(other);
-        m_fleetSize.report(count);
+        m_fleetSize.hear(news.instance);
+        m_fleetSize.report(news.heardOf);
+        if (news.isReader) {
+            Instance reader;
+            reader.id = news.instance;
+            reader.dataCentre = news.dataCentre;
+            reader.peerAddress = addressText({number, news.peerPort});
+            m_sharedRegistry.hearOfReader(reader);
+        }
         const auto now = m_fleetSize.estimate();
         if (now == before || !now)
             return;
@@ -287,6 +362,7 @@
                       {"connections", m_ingress.counts().connections},
                       {"activeCalls", m_gateway.activeCalls()}});
         m_ingress.beginStop();
+        m_peers.beginStop();
         const Duration forcedEnd = m_settings.stopTime - stopMargin;
         m_stopDeadline = m_timer.now() + forcedEnd;
         m_stopStep = m_timer.callAfter(std::min(leavingTime, forcedEnd / 2),
@@ -323,7 +399,10 @@
     gateway::ServerDirectory m_directory;
     RegistryView m_view;
     std::unique_ptr<gateway::RegistryReader> m_registry;
+    Http2PeerNetwork m_peers;
+    gateway::SharedRegistryReader m_sharedRegistry;
     gateway::RegistryFollower m_follower;
+    gateway::RegistryShare m_share;
     CallerIngress m_ingress;
     gateway::FleetSize m_fleetSize;
     FleetBeacon m_beacon;
@@ -331,6 +410,7 @@
     OperatorServer m_pages;
     OperatorServer m_metrics;
     boost::asio::signal_set m_signals;
+    std::uint16_t m_peerPort = 0;
     bool m_isStopping = false;
     bool m_wasReady = false;
     TimePoint m_started{};
--- a/modules/daemon/src/RegistryView.cpp
+++ b/modules/daemon/src/RegistryView.cpp
@@ -17,33 +17,52 @@
 {
 }
 
-void RegistryView::onItems(const std::vector<RegistryItem> &items)
+void RegistryView::onItems(const std::vector<RegistryItem> &items,
+                           gateway::RegistryRevision revision)
 {
     std::vector<gateway::ServerRegistration> registrations;
+    std::vector<RegistryItem> mattering;
     for (const RegistryItem &item : items) {
-        applyIfConfiguration(item);
-        if (!isServer(item))
-            continue;
-        if (auto registration = readServer(item))
-            registrations.push_back(std::move(*registration));
+        if (isConfiguration(item)) {
+            applyConfiguration(item);
+            mattering.push_back(item);
+        } else if (isServer(item)) {
+            if (auto registration = readServer(item)) {
+                registrations.push_back(std::move(*registration));
+                mattering.push_back(item);
+            }
+        }
     }
+    m_copy.replaceAll(mattering, revision);
     m_directory.replaceAll(std::move(registrations), m_timer.now());
-    m_isKnown = true;
 }
 
-void RegistryView::onChanges(const std::vector<RegistryItem> &changes)
+void RegistryView::onChanges(const std::vector<RegistryItem> &changes,
+                             gateway::RegistryRevision revision)
 {
-    for (const RegistryItem &item : changes) {
-        applyIfConfiguration(item);
-        if (!isServer(item))
-            continue;
-        auto registration = item.isRemoved ? std::nullopt : readServer(item);
-        if (registration)
-            m_directory.put(std::move(*registration));
-        else
-            m_directory.remove(ServerId(item.key.substr(m_platform.serverPrefix.size())),
-                               m_timer.now());
+    for (const RegistryItem &item : changes)
+        applyChange(item, revision);
+}
+
+void RegistryView::applyChange(const RegistryItem &item, gateway::RegistryRevision revision)
+{
+    if (isConfiguration(item)) {
+        applyConfiguration(item);
+        m_copy.note(item, revision);
+        return;
+    }
+    if (!isServer(item))
+        return;
+    auto registration = item.isRemoved ? std::nullopt : readServer(item);
+    if (registration) {
+        // Most changes are renewals, which say nothing new.
+        if (m_directory.put(std::move(*registration)) || !m_copy.holds(item.key))
+            m_copy.note(item, revision);
+        return;
     }
+    m_directory.remove(ServerId(item.key.substr(m_platform.serverPrefix.size())), m_timer.now());
+    if (m_copy.holds(item.key))
+        m_copy.note({item.key, {}, true}, revision);
 }
 
 void RegistryView::onReturned(Duration outage)
@@ -52,6 +71,11 @@
         m_directory.registryReturned(m_timer.now());
 }
 
+bool RegistryView::isConfiguration(const RegistryItem &item) const
+{
+    return item.key == m_platform.configurationKey;
+}
+
 bool RegistryView::isServer(const RegistryItem &item) const
 {
     return item.key.starts_with(m_platform.serverPrefix);
@@ -68,9 +92,9 @@
     return registration;
 }
 
-void RegistryView::applyIfConfiguration(const RegistryItem &item)
+void RegistryView::applyConfiguration(const RegistryItem &item)
 {
-    if (item.isRemoved || item.key != m_platform.configurationKey)
+    if (item.isRemoved)
         return;
     Reason reason;
     auto configuration = m_platform.readConfiguration(item, reason);
--- a/modules/daemon/src/RegistryView.h
+++ b/modules/daemon/src/RegistryView.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <oleander/daemon/GatewayPlatform.h>
+#include <oleander/gateway/RegistryCopy.h>
 #include <oleander/gateway/RegistryFollower.h>
 #include <oleander/gateway/ServerDirectory.h>
 #include <oleander/ports/EventLog.h>
@@ -18,17 +19,23 @@
     RegistryView(const GatewayPlatform &platform, gateway::ServerDirectory &directory,
                  TimerService &timer, EventLog &log, Duration lease, Apply apply);
 
-    void onItems(const std::vector<gateway::RegistryItem> &items) override;
-    void onChanges(const std::vector<gateway::RegistryItem> &changes) override;
+    void onItems(const std::vector<gateway::RegistryItem> &items,
+                 gateway::RegistryRevision revision) override;
+    void onChanges(const std::vector<gateway::RegistryItem> &changes,
+                   gateway::RegistryRevision revision) override;
     void onReturned(Duration outage) override;
 
     /// The registry was read whole at least once.
-    [[nodiscard]] bool isKnown() const { return m_isKnown; }
+    [[nodiscard]] bool isKnown() const { return m_copy.isWhole(); }
+    /// What was read, for other instances.
+    [[nodiscard]] const gateway::RegistryCopy &copy() const { return m_copy; }
 
 private:
     [[nodiscard]] bool isServer(const gateway::RegistryItem &item) const;
+    [[nodiscard]] bool isConfiguration(const gateway::RegistryItem &item) const;
     std::optional<gateway::ServerRegistration> readServer(const gateway::RegistryItem &item);
-    void applyIfConfiguration(const gateway::RegistryItem &item);
+    void applyChange(const gateway::RegistryItem &item, gateway::RegistryRevision revision);
+    void applyConfiguration(const gateway::RegistryItem &item);
 
     const GatewayPlatform &m_platform;
     gateway::ServerDirectory &m_directory;
@@ -36,7 +43,7 @@
     EventLog &m_log;
     Duration m_lease;
     Apply m_apply;
-    bool m_isKnown = false;
+    gateway::RegistryCopy m_copy;
 };
 
 } // namespace oleander
--- a/modules/gateway/include/oleander/gateway/Registry.h
+++ b/modules/gateway/include/oleander/gateway/Registry.h
@@ -15,6 +15,8 @@
     std::string key;
     std::string value;
     bool isRemoved = false;
+
+    bool operator==(const RegistryItem &) const = default;
 };
 
 /// Counts all changes of the registry.
@@ -39,6 +41,9 @@
     RegistryRevision revision = 0;
     /// More items follow after the last one.
     bool isTruncated = false;
+    /// The answer came from another instance, which had heard from the registry `age` ago.
+    bool isShared = false;
+    Duration age{};
 };
 
 /// Reads the platform's registry. One call at a time; each call ends with exactly one answer,
--- a/modules/gateway/include/oleander/gateway/RegistryFollower.h
+++ b/modules/gateway/include/oleander/gateway/RegistryFollower.h
@@ -20,6 +20,8 @@
     /// Least time between the starts of two watches, so that frequent changes come in batches. A
     /// change is known after this time at the latest, while the registry answers.
     Duration leastPeriod = milliseconds(1600);
+    /// The same between questions to another instance, which answers with batches already.
+    Duration leastSharedPeriod = milliseconds(100);
     /// A watch that brings this many changes may have left others out, and is followed at once.
     std::size_t fullBatch = 250;
     /// First and longest pause after a failed call.
@@ -35,8 +37,8 @@
 
     /// All items of the prefix. Pages are read one after the other, so the items need not be of one
     /// moment; changes since the first page follow as changes.
-    virtual void onItems(const std::vector<RegistryItem> &items) = 0;
-    virtual void onChanges(const std::vector<RegistryItem> &changes) = 0;
+    virtual void onItems(const std::vector<RegistryItem> &items, RegistryRevision revision) = 0;
+    virtual void onChanges(const std::vector<RegistryItem> &changes, RegistryRevision revision) = 0;
     /// The registry answers again; it had not for `outage`.
     virtual void onReturned(Duration outage) = 0;
 };
@@ -54,7 +56,8 @@
 
     void start();
 
-    /// Time since the registry last answered; nothing before the first answer.
+    /// How old the content is that the listener was told: the time since the registry, asked by
+    /// this instance or by another, had no change beyond it. Nothing before the first content.
     [[nodiscard]] std::optional<Duration> age() const;
 
 private:
@@ -63,7 +66,8 @@
     void watch();
     void onWatched(const RegistryAnswer &answer);
     void retryAfter(RegistryError error, bool fromScratch);
-    void noteAnswer();
+    void noteContent(const RegistryAnswer &answer);
+    void noteAnswer(Duration age);
     void later(Duration delay, void (RegistryFollower::*step)());
     void restart();
 
@@ -79,7 +83,10 @@
     RegistryRevision m_revision = 0;
     int m_failures = 0;
     TimePoint m_callStarted{};
+    TimePoint m_listStarted{};
     std::optional<TimePoint> m_lastAnswer;
+    /// The listener knows all changes up to this time.
+    std::optional<TimePoint> m_completeAsOf;
     Subscription m_wait;
     std::shared_ptr<int> m_life = std::make_shared<int>();
 };
--- a/modules/gateway/include/oleander/gateway/ServerDirectory.h
+++ b/modules/gateway/include/oleander/gateway/ServerDirectory.h
@@ -44,7 +44,8 @@
     explicit ServerDirectory(Listener listener);
 
     // News of the registry
-    void put(ServerRegistration registration);
+    /// Returns whether the registration differs from what was held.
+    bool put(ServerRegistration registration);
     /// The registry no longer has the server, or what it has can not be used.
     void remove(const ServerId &server, TimePoint now);
     /// The whole content of the registry at one time: what is not in it counts as removed.
--- a/modules/gateway/src/RegistryFollower.cpp
+++ b/modules/gateway/src/RegistryFollower.cpp
@@ -47,15 +47,16 @@
 
 std::optional<Duration> RegistryFollower::age() const
 {
-    if (!m_lastAnswer)
+    if (!m_completeAsOf)
         return std::nullopt;
-    return m_timer.now() - *m_lastAnswer;
+    return m_timer.now() - *m_completeAsOf;
 }
 
 void RegistryFollower::restart()
 {
     m_items.clear();
     m_firstPageRevision.reset();
+    m_listStarted = m_timer.now();
     readPage({});
 }
 
@@ -74,7 +75,7 @@
         retryAfter(answer.error, true);
         return;
     }
-    noteAnswer();
+    noteAnswer(answer.age);
     if (!m_firstPageRevision)
         m_firstPageRevision = answer.revision;
     std::ranges::move(answer.items, std::back_inserter(m_items));
@@ -83,7 +84,8 @@
         return;
     }
     m_revision = *m_firstPageRevision;
-    m_listener.onItems(std::exchange(m_items, {}));
+    m_completeAsOf = answer.isShared ? m_timer.now() - answer.age : m_listStarted;
+    m_listener.onItems(std::exchange(m_items, {}), m_revision);
     watch();
 }
 
@@ -103,16 +105,18 @@
         retryAfter(answer.error, answer.error == RegistryError::HistoryGone);
         return;
     }
-    noteAnswer();
+    noteAnswer(answer.age);
     m_revision = std::max(m_revision, answer.revision);
     if (!answer.items.empty())
-        m_listener.onChanges(answer.items);
-    if (answer.items.size() >= m_pace.fullBatch) {
+        m_listener.onChanges(answer.items, m_revision);
+    noteContent(answer);
+    if (!answer.isShared && answer.items.size() >= m_pace.fullBatch) {
         watch();
         return;
     }
     const Duration taken = m_timer.now() - m_callStarted;
-    later(std::max(Duration{}, m_pace.leastPeriod - taken), &RegistryFollower::watch);
+    const Duration period = answer.isShared ? m_pace.leastSharedPeriod : m_pace.leastPeriod;
+    later(std::max(Duration{}, period - taken), &RegistryFollower::watch);
 }
 
 void RegistryFollower::retryAfter(RegistryError error, bool fromScratch)
@@ -123,7 +127,9 @@
                      {{"prefix", m_prefix}, {"error", textOf(error)}});
     }
     if (error == RegistryError::HistoryGone && m_failures == 1) {
-        restart();
+        // The history may be gone again when everything has been read, as often as it is read.
+        const Duration sinceList = m_timer.now() - m_listStarted;
+        later(std::max(Duration{}, m_pace.leastPeriod - sinceList), &RegistryFollower::restart);
         return;
     }
     const BackoffRules rules{m_pace.firstBackoff, m_pace.longestBackoff};
@@ -131,17 +137,29 @@
           fromScratch ? &RegistryFollower::restart : &RegistryFollower::watch);
 }
 
-void RegistryFollower::noteAnswer()
+void RegistryFollower::noteContent(const RegistryAnswer &answer)
 {
-    const TimePoint now = m_timer.now();
+    if (answer.isShared) {
+        m_completeAsOf = m_timer.now() - answer.age;
+        return;
+    }
+    // A full batch may leave changes out. Any other answer was given after the call began, and an
+    // empty one not before the end of the wait.
+    if (answer.items.size() < m_pace.fullBatch)
+        m_completeAsOf = m_callStarted + (answer.items.empty() ? m_pace.watchWait : Duration{});
+}
+
+void RegistryFollower::noteAnswer(Duration age)
+{
+    const TimePoint heard = m_timer.now() - age;
     if (m_failures > 0) {
-        const Duration outage = m_lastAnswer ? now - *m_lastAnswer : Duration{};
+        const Duration outage = m_lastAnswer ? heard - *m_lastAnswer : Duration{};
         m_log.record(EventId::PlatformReachable, {},
                      {{"prefix", m_prefix}, {"outageMs", inMilliseconds(outage)}});
         m_listener.onReturned(outage);
     }
     m_failures = 0;
-    m_lastAnswer = now;
+    m_lastAnswer = m_lastAnswer ? std::max(*m_lastAnswer, heard) : heard;
 }
 
 void RegistryFollower::later(Duration delay, void (RegistryFollower::*step)())
--- a/modules/gateway/src/ServerDirectory.cpp
+++ b/modules/gateway/src/ServerDirectory.cpp
@@ -10,15 +10,16 @@
 {
 }
 
-void ServerDirectory::put(ServerRegistration registration)
+bool ServerDirectory::put(ServerRegistration registration)
 {
     const ServerId id = registration.id;
     m_missing.erase(id);
     auto &held = m_servers[id];
     if (held == registration)
-        return;
+        return false;
     held = std::move(registration);
     m_listener(id, &held);
+    return true;
 }
 
 void ServerDirectory::remove(const ServerId &server, TimePoint now)
--- a/modules/gateway/tests/RegistryFollowerTest.cpp
+++ b/modules/gateway/tests/RegistryFollowerTest.cpp
@@ -51,8 +51,8 @@
 
 struct RegistryFollowerTest : ::testing::Test, RegistryListener
 {
-    void onItems(const std::vector<RegistryItem> &read) override { items = read; }
-    void onChanges(const std::vector<RegistryItem> &read) override
+    void onItems(const std::vector<RegistryItem> &read, RegistryRevision) override { items = read; }
+    void onChanges(const std::vector<RegistryItem> &read, RegistryRevision) override
     {
         changes.insert(changes.end(), read.begin(), read.end());
     }
@@ -111,6 +111,42 @@
     EXPECT_EQ(items.front().key, "p/b");
 }
 
+TEST_F(RegistryFollowerTest, HistoryThatIsGoneAgainAndAgainIsReadAtAPace)
+{
+    for (int round = 0; round < 100; ++round) {
+        registry.answers.push_back(page({"p/a"}, 7));
+        registry.answers.push_back(failure(RegistryError::HistoryGone));
+    }
+    follower.start();
+    scheduler.runFor(seconds(8));
+    // Five periods of 1.6 s, a list and a watch in each.
+    EXPECT_LE(registry.calls.size(), 12U);
+}
+
+TEST_F(RegistryFollowerTest, AgeIsThatOfTheContentAndNotOfTheLastAnswer)
+{
+    // The second page never comes, so the listener has been told nothing yet.
+    registry.answers = {page({"p/a"}, 7, true)};
+    follower.start();
+    scheduler.runFor(seconds(1));
+    EXPECT_FALSE(follower.age());
+}
+
+TEST_F(RegistryFollowerTest, FullBatchesDoNotMakeTheContentYoung)
+{
+    const FollowPace pace;
+    std::vector<std::string> batch;
+    for (std::size_t number = 0; number < pace.fullBatch; ++number)
+        batch.push_back("p/" + std::to_string(number));
+    registry.answers = {page({"p/a"}, 7)};
+    for (RegistryRevision revision = 8; revision < 3000; ++revision)
+        registry.answers.push_back(page(batch, revision));
+    follower.start();
+    scheduler.runFor(seconds(2));
+    ASSERT_TRUE(follower.age());
+    EXPECT_GE(*follower.age(), milliseconds(1990));
+}
+
 TEST_F(RegistryFollowerTest, TellsOfTheReturnAfterFailures)
 {
     registry.answers = {page({"p/a"}, 7), failure(RegistryError::Unreachable),
--- a/modules/ports/include/oleander/ports/PeerMessage.h
+++ b/modules/ports/include/oleander/ports/PeerMessage.h
@@ -5,6 +5,7 @@
 #include <oleander/core/Section.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -72,7 +73,43 @@
     bool operator==(const ViewExchange &) const = default;
 };
 
-using PeerRequest = std::variant<PeerQuery, ViewExchange>;
-using PeerReply = std::variant<PeerAnswer, ViewExchange>;
+/// Asks an instance that reads the platform's registry what has changed in it.
+struct RegistryQuestion
+{
+    /// Changes after this revision are wanted; without it, the whole content.
+    std::optional<std::uint64_t> after;
+    /// How long the answer may wait for a change. Ignored when the whole content is wanted.
+    Duration wait{};
+
+    bool operator==(const RegistryQuestion &) const = default;
+};
+
+/// An item of the platform's registry, or that it is gone.
+struct RegistryNewsItem
+{
+    std::string key;
+    std::string value;
+    bool isRemoved = false;
+
+    bool operator==(const RegistryNewsItem &) const = default;
+};
+
+/// The answer to a RegistryQuestion.
+struct RegistryNews
+{
+    /// False when the changes after the asked revision are not known; the items are then empty.
+    bool isKnown = true;
+    std::vector<RegistryNewsItem> items;
+    /// The revision that the asker then holds. May lie below the one that it asked from, when the
+    /// asker has read later than the instance that answers.
+    std::uint64_t revision = 0;
+    /// How long ago the registry last answered the instance that answers.
+    Duration age{};
+
+    bool operator==(const RegistryNews &) const = default;
+};
+
+using PeerRequest = std::variant<PeerQuery, ViewExchange, RegistryQuestion>;
+using PeerReply = std::variant<PeerAnswer, ViewExchange, RegistryNews>;
 
 } // namespace oleander
--- a/modules/settings/include/oleander/settings/GatewaySettings.h
+++ b/modules/settings/include/oleander/settings/GatewaySettings.h
@@ -6,6 +6,7 @@
 #include <oleander/settings/Finding.h>
 
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -22,8 +23,10 @@
     /// Counters and histograms, for operators.
     Address metricsAddress;
     Address registryAddress;
-    /// UDP, on which instances learn how many they are.
-    Address beaconAddress;
+    /// TCP for calls between instances; UDP, by which they learn of each other.
+    Address peerAddress;
+    /// Instances with another key are refused.
+    std::string fleetKey;
     /// Instances that are asked first; their ports do not matter.
     std::vector<Address> seeds;
     /// Time between a stop signal and the end that is forced.
@@ -42,7 +45,7 @@
 };
 
 /// Reads a gateway's settings file, JSON. Keys: `instance`, `dataCentre`, `callerAddress`,
-/// `readinessAddress`, `metricsAddress`, `registryAddress`, `beaconAddress`, `seeds`,
+/// `readinessAddress`, `metricsAddress`, `registryAddress`, `peerAddress`, `fleetKey`, `seeds`,
 /// `stopSeconds`, `heartbeatMs`, `descriptors`, `extraLoad` with `share`, `allowance` and
 /// `windowSeconds`. All are required. Every fault is reported with its path.
 std::optional<GatewaySettings> readGatewaySettings(std::string_view text, Findings &findings);
--- a/modules/settings/src/GatewaySettings.cpp
+++ b/modules/settings/src/GatewaySettings.cpp
@@ -14,6 +14,7 @@
 constexpr NumberRange heartbeatRange{10, 600'000, "ms"};
 constexpr NumberRange descriptorRange{64, 1 << 24, "descriptors"};
 constexpr std::size_t maximumSeeds = 64;
+constexpr std::size_t shortestFleetKey = 8;
 constexpr double longestStop = 3600;
 constexpr double longestWindow = 3600;
 constexpr double largestShare = 1;
@@ -74,7 +75,10 @@
     settings.readinessAddress = readAddress(reader, "readinessAddress");
     settings.metricsAddress = readAddress(reader, "metricsAddress");
     settings.registryAddress = readAddress(reader, "registryAddress");
-    settings.beaconAddress = readAddress(reader, "beaconAddress");
+    settings.peerAddress = readAddress(reader, "peerAddress");
+    settings.fleetKey = reader.string("fleetKey", Presence::Required).value_or("");
+    if (settings.fleetKey.size() < shortestFleetKey)
+        reader.report("fleetKey", "must be a text of at least 8 bytes");
     settings.seeds = readSeeds(reader, findings);
     settings.stopTime =
         inDuration(reader.number("stopSeconds", 0.1, longestStop, Presence::Required));
