Instances under connection caps keep connections to some servers

Cause: on the grown sites there are more instances (98, 116) than connections that a server takes (84, 92). The limit was also computed for 24 instances until the next configuration came, whatever the beacon had learned.

Change: ServerFleet keeps, for each service, the servers that its share of the connections allows: those of the own data centre first, the others in an order that differs between instances; two until the number of instances is known. The others stand in when none of these can be used. The share is computed anew when the number of instances becomes known. ServerRegistered and ServerGone are logged, as the catalogue has said since they were listed.

RegistryCopy now asks whether an item still says the same. Attempt::lastSend, always equal to the deadline, and three unused getters are gone.

Tests: CrowdedServiceTest (48 instances, caps of 40: nothing refused, all servers reached; the others stand in; shared anew), RegistryCopy.ReadingAnewTellsOfNoRenewals.

Ruled out: an order by hash alone, without the own data centre first (bytes between data centres are the second largest price); a queue for connections at the cap (the cap is the server's to enforce, and what is refused there has already cost it).

--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -245,8 +245,9 @@
             return;
         m_policy.extras.allowance =
             m_settings.extraAllowance * allowanceUsed / static_cast<double>(*instances);
-        m_policy.assumedInstances =
+        m_policy.instances =
             static_cast<int>(static_cast<double>(*instances) / connectionsUsed) + 1;
+        m_fleet.onFleetSize();
     }
 
     [[nodiscard]] bool isReady() const
--- a/modules/daemon/src/RegistryView.cpp
+++ b/modules/daemon/src/RegistryView.cpp
@@ -33,7 +33,9 @@
             }
         }
     }
-    m_copy.replaceAll(mattering, revision);
+    m_copy.replaceAll(mattering, revision, [this](const auto &held, const auto &given) {
+        return hasSameMeaning(held, given);
+    });
     m_directory.replaceAll(std::move(registrations), m_timer.now());
 }
 
@@ -71,6 +73,17 @@
         m_directory.registryReturned(m_timer.now());
 }
 
+bool RegistryView::hasSameMeaning(const RegistryItem &held, const RegistryItem &given) const
+{
+    if (held.value == given.value)
+        return true;
+    if (!isServer(held))
+        return false;
+    Reason ignored;
+    const auto before = m_platform.readRegistration(held, ignored);
+    return before && before == m_platform.readRegistration(given, ignored);
+}
+
 bool RegistryView::isConfiguration(const RegistryItem &item) const
 {
     return item.key == m_platform.configurationKey;
--- a/modules/daemon/src/RegistryView.h
+++ b/modules/daemon/src/RegistryView.h
@@ -31,6 +31,8 @@
     [[nodiscard]] const gateway::RegistryCopy &copy() const { return m_copy; }
 
 private:
+    [[nodiscard]] bool hasSameMeaning(const gateway::RegistryItem &held,
+                                      const gateway::RegistryItem &given) const;
     [[nodiscard]] bool isServer(const gateway::RegistryItem &item) const;
     [[nodiscard]] bool isConfiguration(const gateway::RegistryItem &item) const;
     std::optional<gateway::ServerRegistration> readServer(const gateway::RegistryItem &item);
--- a/modules/gateway/include/oleander/gateway/Attempt.h
+++ b/modules/gateway/include/oleander/gateway/Attempt.h
@@ -38,10 +38,8 @@
     std::shared_ptr<const CallerRequest> request;
     Repeatability repeatability = Repeatability::AtMostOnce;
     int priority = 0;
-    /// The server gives up then.
+    /// The server gives up then, and nothing is sent any more.
     TimePoint deadline{};
-    /// Not sent any more after this.
-    TimePoint lastSend{};
     /// Latency that is usual for such a request.
     Duration usualLatency{};
     /// Counts the latency of replies to such requests, wanted or not.
--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -52,7 +52,6 @@
     void setConnectionLimit(int limit) { m_connectionLimit = limit; }
     /// Registered no more: what is under way ends, nothing new begins.
     void retire();
-    [[nodiscard]] bool isRetired() const { return m_isRetired; }
     /// Retired, and nothing is under way.
     [[nodiscard]] bool isFinished() const;
 
--- a/modules/gateway/include/oleander/gateway/GatewayPolicy.h
+++ b/modules/gateway/include/oleander/gateway/GatewayPolicy.h
@@ -3,6 +3,8 @@
 #include <oleander/core/Units.h>
 #include <oleander/gateway/ExtraBudget.h>
 
+#include <optional>
+
 namespace oleander::gateway {
 
 /// The values that steer the gateway. Set for the whole fleet.
@@ -23,8 +25,8 @@
     /// doubles up to the longest.
     Duration firstRetryWait = milliseconds(25);
     Duration longestRetryWait = milliseconds(200);
-    /// Instances that are assumed to share each server's connections.
-    int assumedInstances = 24;
+    /// Instances that share each server's connections; nothing while that is not known.
+    std::optional<int> instances;
     /// Most connections to one server.
     int connectionsPerServer = 12;
     /// Servers are told to stop when the caller has been gone for this long; requests that end
--- a/modules/gateway/include/oleander/gateway/RegistryCopy.h
+++ b/modules/gateway/include/oleander/gateway/RegistryCopy.h
@@ -2,6 +2,7 @@
 
 #include <oleander/gateway/Registry.h>
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -17,8 +18,13 @@
 class RegistryCopy
 {
 public:
-    /// The whole content of the registry at a revision: what is not in it is gone.
-    void replaceAll(const std::vector<RegistryItem> &items, RegistryRevision revision);
+    /// Whether two items of one key say the same, renewals apart.
+    using SameMeaning = std::function<bool(const RegistryItem &held, const RegistryItem &given)>;
+
+    /// The whole content of the registry at a revision: what is not in it is gone, and what says
+    /// the same as before has not changed.
+    void replaceAll(const std::vector<RegistryItem> &items, RegistryRevision revision,
+                    const SameMeaning &isSame);
     /// An item that changed or is gone, at a revision at the latest.
     void note(const RegistryItem &item, RegistryRevision revision);
 
--- a/modules/gateway/include/oleander/gateway/ServerFleet.h
+++ b/modules/gateway/include/oleander/gateway/ServerFleet.h
@@ -18,11 +18,18 @@
     int connectionCap = 0;
     ExtraBudget extras;
     std::vector<BackendServer *> servers;
+    /// Those that this instance keeps connections to. The others stand in when none of these can
+    /// be used.
+    std::vector<BackendServer *> preferred;
 
     [[nodiscard]] bool hasUsableServer() const;
 };
 
 /// All servers that are registered, by service.
+///
+/// Where the fleet has more instances than a server takes connections, each instance keeps
+/// connections to some of a service's servers only: those of its own data centre first, the others
+/// by an order of its own, so that the instances together reach all servers alike.
 class ServerFleet
 {
 public:
@@ -35,6 +42,9 @@
     /// A configuration is in force: its services are the ones that get connections.
     void onConfiguration(const GatewayConfiguration &configuration);
 
+    /// The policy knows another number of instances now.
+    void onFleetSize();
+
     // Use
     /// The pool of a service. Made when there is none; stays for good.
     ServicePool &pool(const ServiceId &service);
@@ -51,12 +61,20 @@
     void tidy();
     void warmUpLater(const ServerId &server);
     void warmUpSome();
+    /// To be called when the servers of the pool, their cap or the number of instances changed.
+    void share(ServicePool &pool);
     [[nodiscard]] int connectionLimit(const ServicePool &pool) const;
+    [[nodiscard]] std::size_t preferredCount(const ServicePool &pool) const;
+    [[nodiscard]] std::vector<ServerCandidate>
+    candidatesAmong(const std::vector<BackendServer *> &servers,
+                    const std::vector<BackendServer *> &excluded, Duration usualLatency) const;
 
     ServerContext m_context;
     RandomSource &m_random;
     const GatewayPolicy &m_policy;
     DataCentreId m_dataCentre;
+    /// Makes the order of servers differ between instances.
+    std::uint64_t m_orderSeed;
     std::unordered_map<ServiceId, std::unique_ptr<ServicePool>> m_pools;
     std::unordered_map<ServerId, std::unique_ptr<BackendServer>> m_servers;
     /// Retired servers with work under way.
--- a/modules/gateway/include/oleander/gateway/ServiceCall.h
+++ b/modules/gateway/include/oleander/gateway/ServiceCall.h
@@ -63,10 +63,8 @@
     /// Stops what runs, by closing its connections. After leave().
     void stopRunning();
 
-    [[nodiscard]] bool isEnded() const { return !m_done; }
     /// A sending is at a server and has not ended.
     [[nodiscard]] bool isRunning() const;
-    [[nodiscard]] bool wasSent() const { return m_wasSent; }
     /// What is known of the execution by now.
     [[nodiscard]] RanState ranState() const;
     [[nodiscard]] int attempts() const { return m_sentCount; }
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -214,9 +214,9 @@
     const TimePoint now = m_context.timer.now();
     std::vector<AttemptPtr> overdue;
     std::erase_if(m_waiting, [&](const AttemptPtr &attempt) {
-        if (attempt->isWanted() && now > attempt->lastSend)
+        if (attempt->isWanted() && now > attempt->deadline)
             overdue.push_back(attempt);
-        return !attempt->isWanted() || now > attempt->lastSend;
+        return !attempt->isWanted() || now > attempt->deadline;
     });
     for (const AttemptPtr &attempt : overdue)
         end(attempt, {AttemptEnd::NotSent, {}});
@@ -275,7 +275,7 @@
             m_waiting.pop_front();
             continue;
         }
-        if (now > next->lastSend) {
+        if (now > next->deadline) {
             m_waiting.pop_front();
             end(next, {AttemptEnd::NotSent, {}});
             continue;
--- a/modules/gateway/src/RegistryCopy.cpp
+++ b/modules/gateway/src/RegistryCopy.cpp
@@ -5,13 +5,15 @@
 
 namespace oleander::gateway {
 
-void RegistryCopy::replaceAll(const std::vector<RegistryItem> &items, RegistryRevision revision)
+void RegistryCopy::replaceAll(const std::vector<RegistryItem> &items, RegistryRevision revision,
+                              const SameMeaning &isSame)
 {
     std::unordered_set<std::string> present;
     for (const RegistryItem &item : items) {
         present.insert(item.key);
         const auto held = m_entries.find(item.key);
-        if (held == m_entries.end() || held->second.item != item)
+        if (held == m_entries.end() || held->second.item.isRemoved
+            || !isSame(held->second.item, item))
             note(item, revision);
     }
     std::vector<std::string> absent;
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -1,5 +1,7 @@
 #include <oleander/gateway/ServerFleet.h>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -13,6 +15,10 @@
 /// instances does not reach every server at once.
 constexpr Duration warmUpPeriod = milliseconds(20);
 constexpr std::size_t warmUpsAtOnce = 2;
+/// Instances that share a server's connections, until their number is known.
+constexpr int assumedInstances = 24;
+/// Servers of each service that get connections until then; the second stands in for the first.
+constexpr std::size_t preferredAtFirst = 2;
 
 } // namespace
 
@@ -28,6 +34,7 @@
     , m_random(random)
     , m_policy(policy)
     , m_dataCentre(std::move(dataCentre))
+    , m_orderSeed(random.next())
     , m_tidying(timer.callEvery(tidyPeriod, [this](const TimerTick &) { tidy(); }))
 {
 }
@@ -38,7 +45,12 @@
     const bool isMoved = registration && found != m_servers.end()
                          && found->second->registration().service != registration->service;
     if (found != m_servers.end() && (!registration || isMoved)) {
-        std::erase(pool(found->second->registration().service).servers, found->second.get());
+        ServicePool &left = pool(found->second->registration().service);
+        std::erase(left.servers, found->second.get());
+        std::erase(left.preferred, found->second.get());
+        share(left);
+        m_context.log.record(EventId::ServerGone, {},
+                             {{"server", server.text()}, {"service", left.id.text()}});
         found->second->retire();
         m_retired.push_back(std::move(found->second));
         m_servers.erase(found);
@@ -56,24 +68,54 @@
         return;
     }
     held = std::make_unique<BackendServer>(m_context, *registration);
+    m_context.log.record(EventId::ServerRegistered, {},
+                         {{"server", server.text()},
+                          {"service", registration->service.text()},
+                          {"address", registration->address.number},
+                          {"dataCentre", registration->dataCentre.text()},
+                          {"isDraining", registration->isDraining}});
     ServicePool &itsPool = pool(registration->service);
-    held->setConnectionLimit(connectionLimit(itsPool));
     itsPool.servers.push_back(held.get());
-    if (itsPool.connectionCap > 0)
-        warmUpLater(server);
+    share(itsPool);
 }
 
 void ServerFleet::onConfiguration(const GatewayConfiguration &configuration)
 {
     for (const ServiceDeclaration &service : configuration.services) {
         ServicePool &itsPool = pool(service.id);
-        const bool isNew = itsPool.connectionCap == 0;
         itsPool.connectionCap = service.connectionCap;
-        for (BackendServer *server : itsPool.servers) {
-            server->setConnectionLimit(connectionLimit(itsPool));
-            if (isNew)
-                warmUpLater(server->registration().id);
-        }
+        share(itsPool);
+    }
+}
+
+void ServerFleet::onFleetSize()
+{
+    for (const auto &[id, pool] : m_pools)
+        share(*pool);
+}
+
+void ServerFleet::share(ServicePool &pool)
+{
+    // Services that no configuration names get no connections.
+    if (pool.connectionCap <= 0)
+        return;
+    std::vector<std::pair<std::uint64_t, BackendServer *>> order;
+    for (BackendServer *server : pool.servers) {
+        server->setConnectionLimit(connectionLimit(pool));
+        const ServerRegistration &registration = server->registration();
+        const std::string &id = registration.id.text();
+        constexpr std::uint64_t farAway = std::uint64_t{1} << 63;
+        const std::uint64_t place = XXH3_64bits_withSeed(id.data(), id.size(), m_orderSeed) >> 1;
+        order.emplace_back(registration.dataCentre == m_dataCentre ? place : place | farAway,
+                           server);
+    }
+    std::ranges::sort(order);
+    order.resize(preferredCount(pool));
+    const auto before = std::exchange(pool.preferred, {});
+    for (const auto &[place, server] : order) {
+        pool.preferred.push_back(server);
+        if (std::ranges::find(before, server) == before.end())
+            warmUpLater(server->registration().id);
     }
 }
 
@@ -90,12 +132,27 @@
 
 BackendServer *ServerFleet::choose(ServicePool &pool, const std::vector<BackendServer *> &excluded,
                                    Duration usualLatency)
+{
+    const std::vector<BackendServer *> *among = &pool.preferred;
+    auto candidates = candidatesAmong(*among, excluded, usualLatency);
+    if (candidates.empty()) {
+        among = &pool.servers;
+        candidates = candidatesAmong(*among, excluded, usualLatency);
+    }
+    const auto chosen = chooseServer(candidates, m_context.timer.now(), m_random.next());
+    return chosen ? (*among)[*chosen] : nullptr;
+}
+
+std::vector<ServerCandidate>
+ServerFleet::candidatesAmong(const std::vector<BackendServer *> &servers,
+                             const std::vector<BackendServer *> &excluded,
+                             Duration usualLatency) const
 {
     const TimePoint now = m_context.timer.now();
     std::vector<ServerCandidate> candidates;
-    candidates.reserve(pool.servers.size());
-    for (std::size_t index = 0; index < pool.servers.size(); ++index) {
-        const BackendServer &server = *pool.servers[index];
+    candidates.reserve(servers.size());
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+        const BackendServer &server = *servers[index];
         if (!server.isUsable() || server.isAvoided()
             || std::ranges::find(excluded, &server) != excluded.end())
             continue;
@@ -108,8 +165,7 @@
         }
         candidates.push_back(candidate);
     }
-    const auto chosen = chooseServer(candidates, now, m_random.next());
-    return chosen ? pool.servers[*chosen] : nullptr;
+    return candidates;
 }
 
 std::size_t ServerFleet::connections() const
@@ -159,8 +215,19 @@
 
 int ServerFleet::connectionLimit(const ServicePool &pool) const
 {
-    const int share = pool.connectionCap / std::max(1, m_policy.assumedInstances);
-    return std::clamp(share, 1, m_policy.connectionsPerServer);
+    const int instances = std::max(1, m_policy.instances.value_or(assumedInstances));
+    return std::clamp(pool.connectionCap / instances, 1, m_policy.connectionsPerServer);
+}
+
+std::size_t ServerFleet::preferredCount(const ServicePool &pool) const
+{
+    const std::size_t servers = pool.servers.size();
+    if (!m_policy.instances)
+        return std::min(servers, preferredAtFirst);
+    // The connections that all servers take, shared by all instances.
+    const std::size_t share = servers * static_cast<std::size_t>(pool.connectionCap)
+                              / static_cast<std::size_t>(std::max(1, *m_policy.instances));
+    return std::min(servers, std::max<std::size_t>(1, share));
 }
 
 } // namespace oleander::gateway
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -116,7 +116,6 @@
     attempt->repeatability = m_plan.repeatability;
     attempt->priority = m_plan.priority;
     attempt->deadline = m_plan.deadline;
-    attempt->lastSend = m_plan.deadline;
     attempt->usualLatency = m_plan.usualLatency;
     attempt->latencies = m_plan.latencies;
     attempt->whenEnded = [self = weak_from_this(), raw = attempt.get(),
--- a/modules/gateway/tests/RegistryShareTest.cpp
+++ b/modules/gateway/tests/RegistryShareTest.cpp
@@ -21,11 +21,18 @@
     return result;
 }
 
+/// Items whose values begin alike say the same.
+bool isSame(const RegistryItem &held, const RegistryItem &given)
+{
+    return held.value.substr(0, held.value.find('#'))
+           == given.value.substr(0, given.value.find('#'));
+}
+
 TEST(RegistryCopy, TellsChangesAndRemovalsSinceARevision)
 {
     RegistryCopy copy;
     EXPECT_FALSE(copy.since(0));
-    copy.replaceAll(items({"a", "b"}), 10);
+    copy.replaceAll(items({"a", "b"}), 10, isSame);
     copy.note({"a", "new", false}, 12);
     copy.note({"b", {}, true}, 14);
     const auto changes = copy.since(11);
@@ -38,7 +45,7 @@
 TEST(RegistryCopy, DoesNotClaimToKnowWhatWasRemovedBeforeItBegan)
 {
     RegistryCopy copy;
-    copy.replaceAll(items({"a"}), 10);
+    copy.replaceAll(items({"a"}), 10, isSame);
     EXPECT_FALSE(copy.since(9));
     EXPECT_TRUE(copy.since(10));
 }
@@ -46,18 +53,30 @@
 TEST(RegistryCopy, ReadingAnewFindsWhatIsGone)
 {
     RegistryCopy copy;
-    copy.replaceAll(items({"a", "b"}), 10);
-    copy.replaceAll(items({"a"}), 20);
+    copy.replaceAll(items({"a", "b"}), 10, isSame);
+    copy.replaceAll(items({"a"}), 20, isSame);
     const auto changes = copy.since(15);
     ASSERT_TRUE(changes);
     ASSERT_EQ(changes->size(), 1U);
     EXPECT_TRUE(changes->front().isRemoved);
 }
 
+// A reader that had to read the registry anew told everybody of each renewal since, at once.
+TEST(RegistryCopy, ReadingAnewTellsOfNoRenewals)
+{
+    RegistryCopy copy;
+    copy.replaceAll({{"a", "ready#1", false}, {"b", "ready#1", false}}, 10, isSame);
+    copy.replaceAll({{"a", "ready#2", false}, {"b", "leaving#2", false}}, 20, isSame);
+    const auto changes = copy.since(10);
+    ASSERT_TRUE(changes);
+    ASSERT_EQ(changes->size(), 1U);
+    EXPECT_EQ(changes->front().key, "b");
+}
+
 TEST(RegistryCopy, ForgetsHistoryRatherThanGrowWithoutBound)
 {
     RegistryCopy copy;
-    copy.replaceAll({}, 1);
+    copy.replaceAll({}, 1, isSame);
     for (std::size_t number = 0; number <= RegistryCopy::mostRemovals; ++number)
         copy.note({"k" + std::to_string(number), {}, true}, 2 + number);
     EXPECT_FALSE(copy.since(2));
--- a/modules/gateway/tests/ServerFleetTest.cpp
+++ b/modules/gateway/tests/ServerFleetTest.cpp
@@ -101,4 +101,83 @@
     EXPECT_LE(servers.tally(addressOf(shards, 0)).arrived, 1);
 }
 
+/// Many instances, and one service of three servers, each in a data centre of its own.
+struct CrowdedServiceTest : ::testing::Test
+{
+    static constexpr int instanceCount = 48;
+    static constexpr int serverCount = 3;
+    static constexpr int cap = 40;
+
+    void start(std::optional<int> knownInstances)
+    {
+        GatewayPolicy policy;
+        policy.instances = knownInstances;
+        GatewayConfiguration configuration = plainConfiguration(0);
+        for (ServiceDeclaration &service : configuration.services)
+            service.connectionCap = cap;
+        for (int server = 0; server < serverCount; ++server)
+            servers.conduct(addressOf(0, server)).connectionCap = cap;
+        for (int number = 0; number < instanceCount; ++number) {
+            instances.push_back(std::make_unique<TestInstance>(
+                scheduler, servers, policy, number + 1, "dc-" + std::to_string(number % 3)));
+            for (int server = 0; server < serverCount; ++server) {
+                ServerRegistration registration = registrationOf(0, server);
+                registration.dataCentre = DataCentreId("dc-" + std::to_string(server));
+                instances.back()->fleet.onRegistration(registration.id, &registration);
+            }
+            instances.back()->gateway.configure(configuration);
+        }
+        scheduler.runFor(seconds(3));
+    }
+
+    VirtualScheduler scheduler;
+    SimulatedServers servers{scheduler, 1};
+    std::vector<std::unique_ptr<TestInstance>> instances;
+};
+
+// Each instance opened a connection to each server; those beyond the cap were refused again and
+// again (grown deployment: 98 instances, 84 connections a server).
+TEST_F(CrowdedServiceTest, InstancesSpreadOverTheServersUnderTheirCap)
+{
+    start(instanceCount);
+    for (int number = 0; number < 20; ++number) {
+        for (const auto &instance : instances)
+            instance->ask("r" + std::to_string(number), "/one/x", seconds(5));
+        scheduler.runFor(milliseconds(500));
+    }
+    for (int server = 0; server < serverCount; ++server) {
+        EXPECT_EQ(servers.tally(addressOf(0, server)).linksRefused, 0);
+        EXPECT_GE(servers.tally(addressOf(0, server)).links, cap / 2);
+    }
+    for (const auto &instance : instances)
+        EXPECT_EQ(instance->fleet.connections(), 2U);
+}
+
+TEST_F(CrowdedServiceTest, TheOthersStandInWhenThePreferredServersAreGone)
+{
+    start(instanceCount);
+    servers.crash(addressOf(0, 0));
+    servers.crash(addressOf(0, 1));
+    servers.conduct(addressOf(0, 2)).connectionCap = instanceCount;
+    scheduler.runFor(milliseconds(100));
+    for (const auto &instance : instances) {
+        const auto received = instance->ask("r", "/one/x", seconds(5));
+        scheduler.runFor(seconds(1));
+        ASSERT_TRUE(received->answer);
+        EXPECT_EQ(received->answer->status, 200);
+    }
+}
+
+TEST_F(CrowdedServiceTest, ConnectionsAreSharedAnewWhenTheNumberOfInstancesIsKnown)
+{
+    start(std::nullopt);
+    TestInstance &instance = *instances.front();
+    EXPECT_EQ(instance.fleet.connections(), 2U);
+    // The others keep theirs, so that the caps hold.
+    instance.policy.instances = 3;
+    instance.fleet.onFleetSize();
+    scheduler.runFor(seconds(1));
+    EXPECT_EQ(instance.fleet.connections(), 3U);
+}
+
 } // namespace
--- a/modules/gateway/tests/support/LoadDay.cpp
+++ b/modules/gateway/tests/support/LoadDay.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+/// Instances that share the servers' connections, where the policy does not say.
+constexpr int usualInstances = 24;
 constexpr int singleServers = 10;
 
 GatewayConfiguration configurationFor(const LoadShape &shape)
@@ -68,6 +70,8 @@
     , m_servers(m_scheduler, seed)
     , m_random(seed + 1)
 {
+    if (!policy.instances)
+        policy.instances = usualInstances;
     m_servers.workTime = workFor;
     m_servers.handshake = milliseconds(6);
     for (int number = 0; number < m_shape.instances; ++number) {
--- a/modules/gateway/tests/support/SharingFleet.cpp
+++ b/modules/gateway/tests/support/SharingFleet.cpp
@@ -78,7 +78,7 @@
     believed.clear();
     for (const RegistryItem &item : items)
         believed[item.key] = item.value;
-    copy.replaceAll(items, revision);
+    copy.replaceAll(items, revision, std::equal_to<>());
     share.onChanged();
 }
 
--- a/modules/gateway/tests/support/SimulatedServers.cpp
+++ b/modules/gateway/tests/support/SimulatedServers.cpp
@@ -15,14 +15,7 @@
         std::shared_ptr<Work> work;
     };
 
-    Link(SimulatedServers &owner, Server &server, ServerLinkListener &listener)
-        : m_owner(owner)
-        , m_server(server)
-        , m_state(std::make_shared<State>())
-    {
-        m_state->listener = &listener;
-        ++m_owner.m_openLinks;
-    }
+    Link(SimulatedServers &owner, Server &server, ServerLinkListener &listener);
     Link(const Link &) = delete;
     Link &operator=(const Link &) = delete;
     ~Link() override;
@@ -55,9 +48,20 @@
     std::deque<std::shared_ptr<Work>> waiting;
 };
 
+SimulatedServers::Link::Link(SimulatedServers &owner, Server &server, ServerLinkListener &listener)
+    : m_owner(owner)
+    , m_server(server)
+    , m_state(std::make_shared<State>())
+{
+    m_state->listener = &listener;
+    ++m_owner.m_openLinks;
+    ++m_server.tally.links;
+}
+
 SimulatedServers::Link::~Link()
 {
     --m_owner.m_openLinks;
+    --m_server.tally.links;
     m_state->listener = nullptr;
     // Servers drop a request when its connection closes.
     if (m_state->work) {
@@ -137,7 +141,9 @@
         const auto state = weak.lock();
         if (!state || !state->listener)
             return;
-        if (server.conduct.isDown) {
+        const bool isBeyondCap = server.tally.links > server.conduct.connectionCap;
+        server.tally.linksRefused += isBeyondCap ? 1 : 0;
+        if (server.conduct.isDown || isBeyondCap) {
             std::exchange(state->listener, nullptr)->onClosed(false);
             return;
         }
--- a/modules/gateway/tests/support/SimulatedServers.h
+++ b/modules/gateway/tests/support/SimulatedServers.h
@@ -28,6 +28,8 @@
     double failedShare = 0;
     /// Executes this share of its requests and closes the connection in place of an answer.
     double lostShare = 0;
+    /// Connections beyond this number are refused.
+    int connectionCap = 1'000'000;
     /// Refuses connections and drops all it has.
     bool isDown = false;
     /// Accepts nothing and answers nothing.
@@ -46,6 +48,9 @@
     int refused = 0;
     /// Work that was done for a caller that was no longer there.
     int dropped = 0;
+    /// Connections that are there, and that were refused for their number.
+    int links = 0;
+    int linksRefused = 0;
     std::vector<std::string> executedIds;
 };
 
--- a/modules/gateway/tests/support/TestGateway.h
+++ b/modules/gateway/tests/support/TestGateway.h
@@ -63,11 +63,11 @@
 {
 public:
     TestInstance(VirtualScheduler &scheduler, ServerLinkFactory &links, GatewayPolicy newPolicy,
-                 std::uint64_t seed)
+                 std::uint64_t seed, const std::string &dataCentre = "here")
         : policy(newPolicy)
         , timer(scheduler)
         , random(seed)
-        , fleet(links, timer, random, log, policy, DataCentreId("here"))
+        , fleet(links, timer, random, log, policy, DataCentreId(dataCentre))
         , gateway(fleet, timer, random, log, policy,
                   [](const std::vector<std::string> &receipts, std::size_t missing) {
                       std::vector<HttpField> fields{{"missing", std::to_string(missing)}};
