--- a/modules/gateway/src/SharedRegistryReader.cpp
+++ b/modules/gateway/src/SharedRegistryReader.cpp
@@ -136,10 +136,11 @@
     return reader.instance.dataCentre == m_role.dataCentre ? place : place | farAway;
 }
 
-void SharedRegistryReader::ask(const Instance &reader, RegistryQuestion question, NewsCallback done)
+void SharedRegistryReader::ask(const Instance &reader, const RegistryQuestion &question,
+                               NewsCallback done)
 {
     const Duration timeLeft = question.wait + answerTime;
-    m_peers.call(reader, std::move(question), timeLeft,
+    m_peers.call(reader, question, timeLeft,
                  [done = std::move(done), life = std::weak_ptr(m_life)](PeerOutcome outcome) {
                      if (life.expired())
                          return;
--- a/modules/gateway/tests/support/SharingFleet.cpp
+++ b/modules/gateway/tests/support/SharingFleet.cpp
@@ -97,7 +97,7 @@
 void SharingInstance::Direct::list(const std::string &, const std::string &, Callback done)
 {
     attempt([this] { return std::optional(m_owner.m_fleet.registry.list()); },
-            m_owner.m_fleet.scheduler.now(), std::move(done));
+            m_owner.m_fleet.scheduler.now(), done);
     ++m_owner.m_fleet.registry.calls;
     ++m_owner.directCalls;
 }
@@ -113,14 +113,14 @@
             const bool isWaiting = answer.error == RegistryError::None && answer.items.empty();
             return isWaiting && !isDue ? std::nullopt : std::optional(answer);
         },
-        end, std::move(done));
+        end, done);
     ++m_owner.m_fleet.registry.calls;
     ++m_owner.directCalls;
 }
 
 /// Looks each 20 ms until there is something to answer.
-void SharingInstance::Direct::attempt(std::function<std::optional<RegistryAnswer>()> read,
-                                      TimePoint end, Callback done)
+void SharingInstance::Direct::attempt(const std::function<std::optional<RegistryAnswer>()> &read,
+                                      TimePoint end, const Callback &done)
 {
     VirtualScheduler &scheduler = m_owner.m_fleet.scheduler;
     scheduler.schedule(scheduler.now() + registryTime, [this, read, end, done,
--- a/modules/gateway/tests/support/SharingFleet.h
+++ b/modules/gateway/tests/support/SharingFleet.h
@@ -118,8 +118,8 @@
                    Callback done) override;
 
     private:
-        void attempt(std::function<std::optional<RegistryAnswer>()> read, TimePoint end,
-                     Callback done);
+        void attempt(const std::function<std::optional<RegistryAnswer>()> &read, TimePoint end,
+                     const Callback &done);
         SharingInstance &m_owner;
     };
 
