--- a/modules/adapters/src/concurrency/Listening.cpp
+++ b/modules/adapters/src/concurrency/Listening.cpp
@@ -10,9 +10,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-/// Connections that the system holds until they are accepted.
-constexpr int listenBacklog = 1024;
-
 bool sharePort(tcp::acceptor &acceptor)
 {
     const int on = 1;
@@ -45,7 +42,7 @@
 }
 
 std::optional<tcp::acceptor> listenOn(asio::io_context &context, const std::string &address,
-                                      Reason &reason)
+                                      Reason &reason, const ListenOptions &options)
 {
     const auto endpoint = endpointOf(address, reason);
     if (!endpoint)
@@ -55,12 +52,12 @@
     acceptor.open(endpoint->protocol(), error);
     if (!error)
         acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    if (!error && !sharePort(acceptor))
+    if (!error && options.isPortShared && !sharePort(acceptor))
         error.assign(errno, boost::system::generic_category());
     if (!error)
         acceptor.bind(*endpoint, error);
     if (!error)
-        acceptor.listen(listenBacklog, error);
+        acceptor.listen(options.backlog, error);
     if (!error)
         return acceptor;
     reason.set(ErrorKind::Internal, "can not listen on " + address + ": " + error.message());
--- a/modules/adapters/src/concurrency/Listening.h
+++ b/modules/adapters/src/concurrency/Listening.h
@@ -13,9 +13,17 @@
 std::optional<boost::asio::ip::tcp::endpoint> endpointOf(const std::string &address,
                                                          Reason &reason);
 
-/// Opens a listening socket that other threads of the process may share the port with, each by a
-/// socket of its own (SO_REUSEPORT).
+struct ListenOptions
+{
+    /// Other threads of the process may share the port, each by a socket of its own (SO_REUSEPORT).
+    bool isPortShared = true;
+    /// Connections that the system holds until they are accepted.
+    int backlog = 1024;
+};
+
+/// Opens a listening socket.
 std::optional<boost::asio::ip::tcp::acceptor> listenOn(boost::asio::io_context &context,
-                                                       const std::string &address, Reason &reason);
+                                                       const std::string &address, Reason &reason,
+                                                       const ListenOptions &options = {});
 
 } // namespace oleander
--- a/modules/adapters/src/gateway/CallerIngress.cpp
+++ b/modules/adapters/src/gateway/CallerIngress.cpp
@@ -1,3 +1,4 @@
+#include "concurrency/Listening.h"
 #include "gateway/IngressSession.h"
 
 #include <algorithm>
@@ -25,6 +26,7 @@
     Impl(asio::io_context &context, TimerService &timer, HeaderNames names, IngressHandler handler)
         : m_shared(std::make_shared<IngressShared>(
             IngressShared{timer, std::move(names), std::move(handler), {}, {}, false, {}}))
+        , m_context(context)
         , m_acceptor(context)
     {
         m_shared->whenClosed = [this](IngressSession &session) { m_sessions.erase(&session); };
@@ -34,22 +36,12 @@
 
     std::optional<std::uint16_t> listen(const Address &address, Reason &reason)
     {
-        error_code error;
-        const tcp::endpoint endpoint(asio::ip::make_address(address.number, error), address.port);
-        if (!error)
-            m_acceptor.open(endpoint.protocol(), error);
-        if (!error)
-            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-        if (!error)
-            m_acceptor.bind(endpoint, error);
-        if (!error)
-            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-        if (error) {
-            reason.set(ErrorKind::Internal, "can not listen on " + address.number + ":"
-                                                + std::to_string(address.port) + ": "
-                                                + error.message());
+        // Two gateways must never share the callers of one port unnoticed.
+        auto opened = listenOn(m_context, addressText(address), reason,
+                               {false, asio::socket_base::max_listen_connections});
+        if (!opened)
             return std::nullopt;
-        }
+        m_acceptor = std::move(*opened);
         m_overdue = m_shared->timer.callEvery(overduePeriod, [this](const TimerTick &tick) {
             forEachSession(
                 [&tick](IngressSession &session) { session.closeIfOverdue(tick.fired); });
@@ -150,6 +142,7 @@
     }
 
     std::shared_ptr<IngressShared> m_shared;
+    asio::io_context &m_context;
     tcp::acceptor m_acceptor;
     std::unordered_map<IngressSession *, std::shared_ptr<IngressSession>> m_sessions;
     std::size_t m_maximum = 1000;
--- a/modules/adapters/src/gateway/FleetBeacon.cpp
+++ b/modules/adapters/src/gateway/FleetBeacon.cpp
@@ -82,9 +82,8 @@
         if (!error)
             m_socket.non_blocking(true, error);
         if (error) {
-            reason.set(ErrorKind::Internal, "beacon can not listen on " + address.number + ":"
-                                                + std::to_string(address.port) + ": "
-                                                + error.message());
+            reason.set(ErrorKind::Internal,
+                       "beacon can not listen on " + addressText(address) + ": " + error.message());
             return std::nullopt;
         }
         const std::uint16_t port = m_socket.local_endpoint().port();
--- a/modules/adapters/src/gateway/HttpGetter.cpp
+++ b/modules/adapters/src/gateway/HttpGetter.cpp
@@ -36,7 +36,7 @@
         m_done = std::move(done);
         m_isReused = m_isConnected;
         m_request = {http::verb::get, target, 11};
-        m_request.set(http::field::host, m_address.number + ":" + std::to_string(m_address.port));
+        m_request.set(http::field::host, addressText(m_address));
         m_timeout = m_timer.callAfter(timeout, [this](const TimerTick &) { fail(); });
         if (m_isConnected)
             write();
--- a/modules/adapters/src/peers/PeerFields.h
+++ b/modules/adapters/src/peers/PeerFields.h
@@ -152,7 +152,7 @@
     visitor("wait", wait);
 }
 
-template <Is<RegistryNewsItem> T, typename Visitor>
+template <Is<RegistryItem> T, typename Visitor>
 void visit(T &message, Visitor &&visitor)
 {
     auto &[key, value, isRemoved] = message;
--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -82,11 +82,6 @@
     return pace;
 }
 
-std::string addressText(const Address &address)
-{
-    return address.number + ":" + std::to_string(address.port);
-}
-
 } // namespace
 
 class GatewayDaemon::Impl : private PeerHandler, private gateway::RegistryListener
--- a/modules/gateway/include/oleander/gateway/Registry.h
+++ b/modules/gateway/include/oleander/gateway/Registry.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <oleander/core/Units.h>
+#include <oleander/ports/PeerMessage.h>
 
 #include <cstdint>
 #include <functional>
@@ -9,15 +9,7 @@
 
 namespace oleander::gateway {
 
-/// One item of the platform's registry, or the news that it is gone.
-struct RegistryItem
-{
-    std::string key;
-    std::string value;
-    bool isRemoved = false;
-
-    bool operator==(const RegistryItem &) const = default;
-};
+using oleander::RegistryItem;
 
 /// Counts all changes of the registry.
 using RegistryRevision = std::uint64_t;
--- a/modules/gateway/include/oleander/gateway/SharedRegistryReader.h
+++ b/modules/gateway/include/oleander/gateway/SharedRegistryReader.h
@@ -69,8 +69,7 @@
     void listDirectly(const std::string &prefix, Callback done);
     void listOldNews(RegistryAnswer failure, Callback done);
     void noteFailure(const InstanceId &reader, const char *cause);
-    void noteSource(const std::string &source, Duration age);
-    void deliver(RegistryAnswer answer, const Callback &done);
+    void deliver(const std::string &source, RegistryAnswer answer, const Callback &done);
 
     SharingRole m_role;
     RegistryReader &m_direct;
--- a/modules/gateway/src/RegistryShare.cpp
+++ b/modules/gateway/src/RegistryShare.cpp
@@ -61,12 +61,10 @@
     RegistryNews result;
     result.revision = m_copy.revision();
     result.age = m_age().value_or(neverHeard);
-    const auto items = after ? m_copy.since(*after) : std::optional(m_copy.items());
+    auto items = after ? m_copy.since(*after) : std::optional(m_copy.items());
     result.isKnown = items && m_copy.isWhole();
-    if (result.isKnown) {
-        for (const RegistryItem &item : *items)
-            result.items.push_back({item.key, item.value, item.isRemoved});
-    }
+    if (result.isKnown)
+        result.items = std::move(*items);
     return result;
 }
 
--- a/modules/gateway/src/SharedRegistryReader.cpp
+++ b/modules/gateway/src/SharedRegistryReader.cpp
@@ -21,8 +21,7 @@
     answer.revision = news.revision;
     if (!news.isKnown)
         answer.error = RegistryError::HistoryGone;
-    for (RegistryNewsItem &item : news.items)
-        answer.items.push_back({std::move(item.key), std::move(item.value), item.isRemoved});
+    answer.items = std::move(news.items);
     return answer;
 }
 
@@ -71,8 +70,7 @@
             listDirectly(prefix, done);
             return;
         }
-        noteSource(id.text(), news->age);
-        deliver(answerFrom(std::move(*news)), done);
+        deliver(id.text(), answerFrom(std::move(*news)), done);
     });
 }
 
@@ -83,11 +81,8 @@
     const auto watchDirectly = [this, prefix, revision, wait, done] {
         m_direct.watch(prefix, revision, wait,
                        [this, done, life = std::weak_ptr(m_life)](RegistryAnswer answer) {
-                           if (life.expired())
-                               return;
-                           if (answer.error == RegistryError::None)
-                               noteSource(registryItself, {});
-                           deliver(std::move(answer), done);
+                           if (!life.expired())
+                               deliver(registryItself, std::move(answer), done);
                        });
     };
     if (!reader) {
@@ -102,8 +97,7 @@
                 watchDirectly();
                 return;
             }
-            noteSource(id.text(), news->age);
-            deliver(answerFrom(std::move(*news)), done);
+            deliver(id.text(), answerFrom(std::move(*news)), done);
         });
 }
 
@@ -161,9 +155,7 @@
                 listOldNews(std::move(answer), done);
                 return;
             }
-            if (answer.error == RegistryError::None)
-                noteSource(registryItself, {});
-            deliver(std::move(answer), done);
+            deliver(registryItself, std::move(answer), done);
         });
 }
 
@@ -186,8 +178,7 @@
                 done(failure);
                 return;
             }
-            noteSource(id.text(), news->age);
-            deliver(answerFrom(std::move(*news)), done);
+            deliver(id.text(), answerFrom(std::move(*news)), done);
         });
 }
 
@@ -199,18 +190,17 @@
     m_log.record(EventId::RegistryReaderFailed, {}, {{"reader", reader.text()}, {"cause", cause}});
 }
 
-void SharedRegistryReader::noteSource(const std::string &source, Duration age)
+void SharedRegistryReader::deliver(const std::string &source, RegistryAnswer answer,
+                                   const Callback &done)
 {
-    if (source == m_source)
-        return;
-    m_source = source;
-    m_log.record(EventId::RegistrySourceChanged, {},
-                 {{"source", source}, {"ageMs", inMilliseconds(age)}});
-}
-
-void SharedRegistryReader::deliver(RegistryAnswer answer, const Callback &done)
-{
-    if (answer.error == RegistryError::None)
+    const bool isGood = answer.error == RegistryError::None;
+    // A reader whose history is too short has answered all the same.
+    if ((isGood || answer.isShared) && source != m_source) {
+        m_source = source;
+        m_log.record(EventId::RegistrySourceChanged, {},
+                     {{"source", source}, {"ageMs", inMilliseconds(answer.age)}});
+    }
+    if (isGood)
         m_delivered = std::max(m_delivered, answer.revision);
     done(std::move(answer));
 }
--- a/modules/ports/include/oleander/ports/PeerMessage.h
+++ b/modules/ports/include/oleander/ports/PeerMessage.h
@@ -84,14 +84,14 @@
     bool operator==(const RegistryQuestion &) const = default;
 };
 
-/// An item of the platform's registry, or that it is gone.
-struct RegistryNewsItem
+/// One item of the platform's registry, or the news that it is gone.
+struct RegistryItem
 {
     std::string key;
     std::string value;
     bool isRemoved = false;
 
-    bool operator==(const RegistryNewsItem &) const = default;
+    bool operator==(const RegistryItem &) const = default;
 };
 
 /// The answer to a RegistryQuestion.
@@ -99,7 +99,7 @@
 {
     /// False when the changes after the asked revision are not known; the items are then empty.
     bool isKnown = true;
-    std::vector<RegistryNewsItem> items;
+    std::vector<RegistryItem> items;
     /// The revision that the asker then holds. May lie below the one that it asked from, when the
     /// asker has read later than the instance that answers.
     std::uint64_t revision = 0;
--- a/modules/settings/include/oleander/settings/Address.h
+++ b/modules/settings/include/oleander/settings/Address.h
@@ -21,4 +21,7 @@
 /// service. Port 0 is refused.
 std::optional<Address> parseAddress(std::string_view text);
 
+/// "127.0.0.1:7001": the number as it is, a colon and the port.
+std::string addressText(const Address &address);
+
 } // namespace oleander
--- a/modules/settings/src/Address.cpp
+++ b/modules/settings/src/Address.cpp
@@ -40,4 +40,9 @@
     return Address{std::string(number), *port};
 }
 
+std::string addressText(const Address &address)
+{
+    return address.number + ":" + std::to_string(address.port);
+}
+
 } // namespace oleander
