--- a/modules/gateway/include/oleander/gateway/ExtraBudget.h
+++ b/modules/gateway/include/oleander/gateway/ExtraBudget.h
@@ -2,38 +2,27 @@
 
 #include <oleander/core/Units.h>
 
+#include <array>
+#include <cstdint>
+
 namespace oleander::gateway {
 
 /// What a service may be sent beyond the first sending of each request, by this instance.
 ///
 /// All instances share one allowance that is counted over a sliding window. Each keeps its own part
-/// without talking: what its own requests earn, and a fixed number a window.
+/// without talking: a share of its own requests, and a fixed number a window.
 struct ExtraBudgetRules
 {
     /// Extra sendings earned by each first one.
     double share = 0.19;
-    /// Extra sendings in any window that need not be earned. Below 2.5 one more can come, since the
-    /// budget keeps whole ones.
+    /// Extra sendings in any window that need not be earned.
     double allowance = 1.0;
     Duration window = seconds(10);
-    /// Of the extra sendings, those that are hedges may be earned at this rate. The rest is kept
-    /// for requests that have failed, which cannot be served otherwise.
-    double hedgeShare = 0.17;
-};
-
-struct ExtraBudget
-{
-    double credit = 0;
-    double hedgeCredit = 0;
-    TimePoint refilled{};
+    /// Part of all extra sendings that may be hedges. The rest is kept for requests that have
+    /// failed, which cannot be served otherwise.
+    double hedgePart = 0.8;
 };
 
-/// A budget that has nothing saved.
-[[nodiscard]] ExtraBudget freshBudget(TimePoint now);
-
-/// A request was sent for the first time.
-void earnExtra(ExtraBudget &budget, const ExtraBudgetRules &rules);
-
 /// What an extra sending is for.
 enum class ExtraKind {
     /// The former sending has failed.
@@ -42,7 +31,36 @@
     Hedge,
 };
 
-/// Takes one extra sending if there is one left.
-bool takeExtra(ExtraBudget &budget, const ExtraBudgetRules &rules, ExtraKind kind, TimePoint now);
+/// First and extra sendings to one service in the last window.
+class ExtraBudget
+{
+public:
+    /// The allowance counts a window after `processStart`: what was sent by a process that ran here
+    /// before is not known, and all may start at once, more than once in a window.
+    explicit ExtraBudget(TimePoint processStart = {});
+
+    /// A request was sent for the first time.
+    void noteFirst(const ExtraBudgetRules &rules, TimePoint now);
+    /// Takes one extra sending if there is one left.
+    bool takeExtra(const ExtraBudgetRules &rules, ExtraKind kind, TimePoint now);
+
+private:
+    /// Sendings in a part of the window.
+    struct Slice
+    {
+        std::uint32_t firsts = 0;
+        std::uint32_t retries = 0;
+        std::uint32_t hedges = 0;
+    };
+    static constexpr std::size_t slicesPerWindow = 10;
+
+    void advance(const ExtraBudgetRules &rules, TimePoint now);
+
+    TimePoint m_processStart;
+    /// The present slice and those that may still be in the window. With one slice more than fits,
+    /// no sending is forgotten too early.
+    std::array<Slice, slicesPerWindow + 1> m_slices{};
+    std::int64_t m_present = 0;
+};
 
 } // namespace oleander::gateway
--- a/modules/gateway/include/oleander/gateway/ServerFleet.h
+++ b/modules/gateway/include/oleander/gateway/ServerFleet.h
@@ -55,7 +55,11 @@
     /// Takes one extra sending to the service from its budget.
     bool takeExtra(ServicePool &pool, ExtraKind kind);
     [[nodiscard]] std::uint64_t drawRandom() { return m_random.next(); }
-    void earnExtra(ServicePool &pool) { gateway::earnExtra(pool.extras, m_policy.extras); }
+    /// A request was sent to the service for the first time.
+    void noteFirst(ServicePool &pool)
+    {
+        pool.extras.noteFirst(m_policy.extras, m_context.timer.now());
+    }
 
 private:
     void tidy();
@@ -74,6 +78,7 @@
     const GatewayPolicy &m_policy;
     DataCentreId m_dataCentre;
     /// Makes the order of servers differ between instances.
+    TimePoint m_started;
     std::uint64_t m_orderSeed;
     std::unordered_map<ServiceId, std::unique_ptr<ServicePool>> m_pools;
     std::unordered_map<ServerId, std::unique_ptr<BackendServer>> m_servers;
--- a/modules/gateway/src/ExtraBudget.cpp
+++ b/modules/gateway/src/ExtraBudget.cpp
@@ -1,56 +1,50 @@
 #include <oleander/gateway/ExtraBudget.h>
 
-#include <algorithm>
-
 namespace oleander::gateway {
 
-namespace {
-
-// Parts of the allowance. A window can begin with all that was saved, and sees what is refilled and
-// earned in it: together they are the allowance, and what the window's requests earn.
-constexpr double refilledPart = 0.4;
-constexpr double savedPart = 0.4;
-/// What is earned may be spent a little later than the request that earned it.
-constexpr double earnedPart = 0.2;
-/// Hedges that can be saved up.
-constexpr double mostHedges = 3.0;
-
-/// Credit that can be saved up by refilling; one extra sending at least, or there would never be
-/// one.
-double mostRefilled(const ExtraBudgetRules &rules)
+ExtraBudget::ExtraBudget(TimePoint processStart)
+    : m_processStart(processStart)
 {
-    return std::max(1.0, rules.allowance * savedPart);
 }
 
-} // namespace
-
-ExtraBudget freshBudget(TimePoint now)
+void ExtraBudget::noteFirst(const ExtraBudgetRules &rules, TimePoint now)
 {
-    // Nothing is saved yet: many instances may start at once, and more than once in a window.
-    return {0, 1.0, now};
+    advance(rules, now);
+    ++m_slices[static_cast<std::size_t>(m_present) % m_slices.size()].firsts;
 }
 
-void earnExtra(ExtraBudget &budget, const ExtraBudgetRules &rules)
+bool ExtraBudget::takeExtra(const ExtraBudgetRules &rules, ExtraKind kind, TimePoint now)
 {
-    budget.hedgeCredit = std::min(budget.hedgeCredit + rules.hedgeShare, mostHedges);
-    budget.credit =
-        std::min(budget.credit + rules.share, mostRefilled(rules) + earnedPart * rules.allowance);
+    advance(rules, now);
+    Slice sum;
+    for (const Slice &slice : m_slices) {
+        sum.firsts += slice.firsts;
+        sum.retries += slice.retries;
+        sum.hedges += slice.hedges;
+    }
+    // The oldest slice may be out of the window, and earns nothing any more.
+    const std::size_t oldest = static_cast<std::size_t>(m_present + 1) % m_slices.size();
+    const double earned = rules.share * (sum.firsts - m_slices[oldest].firsts);
+    const double limit = earned + (now - m_processStart < rules.window ? 0.0 : rules.allowance);
+    if (sum.retries + sum.hedges + 1.0 > limit
+        || (kind == ExtraKind::Hedge && sum.hedges + 1.0 > rules.hedgePart * limit))
+        return false;
+    Slice &present = m_slices[static_cast<std::size_t>(m_present) % m_slices.size()];
+    ++(kind == ExtraKind::Hedge ? present.hedges : present.retries);
+    return true;
 }
 
-bool takeExtra(ExtraBudget &budget, const ExtraBudgetRules &rules, ExtraKind kind, TimePoint now)
+void ExtraBudget::advance(const ExtraBudgetRules &rules, TimePoint now)
 {
-    const auto passed = static_cast<double>((now - budget.refilled).count());
-    const double refill =
-        refilledPart * rules.allowance * passed / static_cast<double>(rules.window.count());
-    budget.refilled = now;
-    if (budget.credit < mostRefilled(rules))
-        budget.credit = std::min(budget.credit + refill, mostRefilled(rules));
-    if (budget.credit < 1.0 || (kind == ExtraKind::Hedge && budget.hedgeCredit < 1.0))
-        return false;
-    budget.credit -= 1.0;
-    if (kind == ExtraKind::Hedge)
-        budget.hedgeCredit -= 1.0;
-    return true;
+    const std::int64_t slice =
+        now.time_since_epoch() / (rules.window / static_cast<std::int64_t>(slicesPerWindow));
+    const auto count = static_cast<std::int64_t>(m_slices.size());
+    if (slice - m_present >= count)
+        m_slices = {};
+    else
+        while (m_present < slice)
+            m_slices[static_cast<std::size_t>(++m_present) % m_slices.size()] = {};
+    m_present = slice;
 }
 
 } // namespace oleander::gateway
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -34,6 +34,7 @@
     , m_random(random)
     , m_policy(policy)
     , m_dataCentre(std::move(dataCentre))
+    , m_started(timer.now())
     , m_orderSeed(random.next())
     , m_tidying(timer.callEvery(tidyPeriod, [this](const TimerTick &) { tidy(); }))
 {
@@ -125,7 +126,7 @@
     if (!held) {
         held = std::make_unique<ServicePool>();
         held->id = service;
-        held->extras = freshBudget(m_context.timer.now());
+        held->extras = ExtraBudget(m_started);
     }
     return *held;
 }
@@ -178,7 +179,7 @@
 
 bool ServerFleet::takeExtra(ServicePool &pool, ExtraKind kind)
 {
-    return gateway::takeExtra(pool.extras, m_policy.extras, kind, m_context.timer.now());
+    return pool.extras.takeExtra(m_policy.extras, kind, m_context.timer.now());
 }
 
 void ServerFleet::tidy()
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -131,7 +131,7 @@
         call->onEnded(*ended, server, std::move(result));
     };
     if (m_sentCount++ == 0)
-        m_fleet.earnExtra(*m_plan.pool);
+        m_fleet.noteFirst(*m_plan.pool);
     m_tried.push_back(&server);
     m_running.push_back(attempt);
     server.submit(attempt);
--- a/modules/gateway/tests/DecisionsTest.cpp
+++ b/modules/gateway/tests/DecisionsTest.cpp
@@ -7,62 +7,91 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <vector>
 
 using namespace oleander;
 using namespace oleander::gateway;
 
 namespace {
 
-/// Extra sendings of one instance in a window in which it takes all it can, after a time in which
-/// it took none, and the requests of that window.
-std::pair<int, int> spendAfterSaving(const ExtraBudgetRules &rules)
-{
-    ExtraBudget budget = freshBudget(TimePoint{});
-    int requests = 0;
-    int extras = 0;
-    const TimePoint begin(rules.window);
-    for (TimePoint now{}; now < begin + rules.window; now += milliseconds(50)) {
-        earnExtra(budget, rules);
-        if (now < begin)
+// Requests, quiet times and wishes for extra sendings come at random. The window is looked at where
+// it is fullest, not where the budget counts it.
+RC_GTEST_PROP(ExtraBudget, NoWindowSeesMoreThanItsShareAndTheAllowance, ())
+{
+    ExtraBudgetRules rules;
+    rules.share = 0.2;
+    rules.allowance = *rc::gen::inRange(0, 40) / 4.0;
+    ExtraBudget budget;
+    std::vector<TimePoint> firsts;
+    std::vector<TimePoint> extras;
+    TimePoint now{};
+    const int steps = *rc::gen::inRange(1, 400);
+    for (int step = 0; step < steps; ++step) {
+        now += milliseconds(*rc::gen::weightedElement<int>({{8, 20}, {2, 700}, {1, 9000}}));
+        if (*rc::gen::inRange(0, 2) == 0) {
+            budget.noteFirst(rules, now);
+            firsts.push_back(now);
+        }
+        const auto kind = *rc::gen::element(ExtraKind::Retry, ExtraKind::Hedge);
+        if (!budget.takeExtra(rules, kind, now))
             continue;
-        ++requests;
-        while (takeExtra(budget, rules, ExtraKind::Retry, now))
-            ++extras;
+        extras.push_back(now);
+        const auto isInWindow = [&](TimePoint time) { return time > now - rules.window; };
+        const auto earned =
+            rules.share * static_cast<double>(std::ranges::count_if(firsts, isInWindow));
+        RC_ASSERT(static_cast<double>(std::ranges::count_if(extras, isInWindow))
+                  <= earned + rules.allowance + 1e-9);
     }
-    return {extras, requests};
 }
 
-// What was saved in a quiet time came on top of a whole window's share and allowance.
-TEST(ExtraBudget, WindowNeverSeesMoreThanTheShareAndTheAllowanceAlsoAfterAQuietTime)
+/// Extra sendings that are given at one moment, to one who takes all of a kind.
+int takeAll(ExtraBudget &budget, const ExtraBudgetRules &rules, ExtraKind kind, TimePoint now)
 {
-    for (const double allowance : {2.5, 3.0, 6.0, 30.0}) {
-        ExtraBudgetRules rules;
-        rules.share = 0.2;
-        rules.allowance = allowance;
-        const auto [extras, requests] = spendAfterSaving(rules);
-        EXPECT_LE(extras, rules.share * requests + allowance) << allowance;
-        EXPECT_GE(extras, rules.share * requests) << allowance;
-    }
+    int taken = 0;
+    while (budget.takeExtra(rules, kind, now))
+        ++taken;
+    return taken;
 }
 
-TEST(ExtraBudget, ProcessThatHasJustStartedHasSavedNothing)
+// An instance that sends few requests must be able to use what it has when a server stands still,
+// without saving for it.
+TEST(ExtraBudget, WholeShareAndAllowanceCanBeUsedAtOnce)
 {
-    const ExtraBudgetRules rules;
-    ExtraBudget budget = freshBudget(TimePoint{});
-    EXPECT_FALSE(takeExtra(budget, rules, ExtraKind::Retry, TimePoint{}));
+    ExtraBudgetRules rules;
+    rules.share = 0.2;
+    rules.allowance = 2.4;
+    ExtraBudget budget;
+    const TimePoint later(rules.window);
+    for (int request = 0; request < 5; ++request)
+        budget.noteFirst(rules, later);
+    EXPECT_EQ(takeAll(budget, rules, ExtraKind::Retry, later), 3);
+    EXPECT_EQ(takeAll(budget, rules, ExtraKind::Retry, later + rules.window / 2), 0);
+    EXPECT_EQ(takeAll(budget, rules, ExtraKind::Retry, later + 2 * rules.window), 2);
 }
 
-TEST(ExtraBudget, HedgesLeaveTheirRestToRetries)
+TEST(ExtraBudget, ProcessThatHasJustStartedHasNoAllowance)
 {
     ExtraBudgetRules rules;
     rules.share = 0.2;
     rules.allowance = 5;
-    rules.hedgeShare = 0;
-    ExtraBudget budget = freshBudget(TimePoint{});
+    const TimePoint start = TimePoint{} + seconds(100);
+    ExtraBudget budget(start);
+    EXPECT_EQ(takeAll(budget, rules, ExtraKind::Retry, start), 0);
+    for (int request = 0; request < 5; ++request)
+        budget.noteFirst(rules, start);
+    EXPECT_EQ(takeAll(budget, rules, ExtraKind::Retry, start + seconds(1)), 1);
+    EXPECT_EQ(takeAll(budget, rules, ExtraKind::Retry, start + 2 * rules.window), 5);
+}
+
+TEST(ExtraBudget, HedgesLeaveTheirRestToRetries)
+{
+    ExtraBudgetRules rules;
+    rules.allowance = 4;
+    rules.hedgePart = 0.5;
+    ExtraBudget budget;
     const TimePoint later(rules.window);
-    EXPECT_TRUE(takeExtra(budget, rules, ExtraKind::Hedge, later));
-    EXPECT_FALSE(takeExtra(budget, rules, ExtraKind::Hedge, later));
-    EXPECT_TRUE(takeExtra(budget, rules, ExtraKind::Retry, later));
+    EXPECT_EQ(takeAll(budget, rules, ExtraKind::Hedge, later), 2);
+    EXPECT_EQ(takeAll(budget, rules, ExtraKind::Retry, later), 2);
 }
 
 TEST(FleetSize, IsUnknownAloneAndNeverFalls)
--- a/modules/gateway/tests/ServerFleetTest.cpp
+++ b/modules/gateway/tests/ServerFleetTest.cpp
@@ -141,11 +141,14 @@
 {
     start(instanceCount);
     for (int number = 0; number < 20; ++number) {
-        for (const auto &instance : instances)
+        // Not all at once: what the servers of the share refuse goes to another one.
+        for (const auto &instance : instances) {
             instance->ask("r" + std::to_string(number), "/one/x", seconds(5));
-        scheduler.runFor(milliseconds(500));
+            scheduler.runFor(milliseconds(10));
+        }
     }
     for (int server = 0; server < serverCount; ++server) {
+        EXPECT_EQ(servers.tally(addressOf(0, server)).refused, 0);
         EXPECT_EQ(servers.tally(addressOf(0, server)).linksRefused, 0);
         EXPECT_GE(servers.tally(addressOf(0, server)).links, cap / 2);
     }
--- a/modules/gateway/tests/support/LoadDay.cpp
+++ b/modules/gateway/tests/support/LoadDay.cpp
@@ -9,6 +9,9 @@
 /// Instances that share the servers' connections, where the policy does not say.
 constexpr int usualInstances = 24;
 constexpr int singleServers = 10;
+/// Instances run for this long before callers come, so that all may use the allowance of extra
+/// sendings.
+constexpr Duration startTime = seconds(11);
 
 std::string dataCentreNamed(int number)
 {
@@ -104,14 +107,14 @@
                 schedulePause(addressOf(service, server));
         }
     }
-    m_scheduler.runFor(seconds(2));
+    m_scheduler.runFor(startTime);
     for (const CallerKind &kind : m_shape.kinds)
         scheduleNext(kind);
 }
 
 void LoadDay::at(Duration time, std::function<void()> change)
 {
-    m_scheduler.schedule(TimePoint{} + seconds(2) + time, std::move(change));
+    m_scheduler.schedule(TimePoint{} + startTime + time, std::move(change));
 }
 
 void LoadDay::run(Duration length)
@@ -123,7 +126,7 @@
 {
     LoadFigures figures;
     for (const auto &request : m_requests) {
-        const Duration time = request->asked - (TimePoint{} + seconds(2));
+        const Duration time = request->asked - (TimePoint{} + startTime);
         if (request->kind.path != path || time < from || time >= until)
             continue;
         ++figures.asked;
@@ -141,7 +144,7 @@
 int LoadDay::tries(const std::string &path, Duration from, Duration until) const
 {
     return static_cast<int>(std::ranges::count_if(m_tries, [&](const auto &made) {
-        const Duration time = made.second - (TimePoint{} + seconds(2));
+        const Duration time = made.second - (TimePoint{} + startTime);
         return made.first == path && time >= from && time < until;
     }));
 }
