--- a/modules/gateway/tests/CallTest.cpp
+++ b/modules/gateway/tests/CallTest.cpp
@@ -168,6 +168,7 @@
             scheduler.runFor(milliseconds(500));
         }
     };
+    instance.policy.extras.allowance = 100;
     ask(40);
     forAllServers(0, [](ServerConduct &conduct) { conduct.slowness = 25; });
     ask(10);
