--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -115,7 +115,11 @@
     const auto before = std::exchange(pool.preferred, {});
     for (const auto &[place, server] : order) {
         pool.preferred.push_back(server);
-        if (std::ranges::find(before, server) == before.end())
+        // Where connections are scarce, the others are connected to when they are needed. After a
+        // loss of power servers still hold the connections of before.
+        const bool isOpenedAhead =
+            pool.preferred.size() == 1 || order.size() == pool.servers.size();
+        if (isOpenedAhead && std::ranges::find(before, server) == before.end())
             warmUpLater(server->registration().id);
     }
 }
