--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -49,7 +49,12 @@
 
     // News
     void update(ServerRegistration registration);
-    void setConnectionLimit(int limit) { m_connectionLimit = limit; }
+    /// How many connections may be open at a time, and for how long one may be idle.
+    void setConnectionLimits(int count, Duration idle)
+    {
+        m_connectionLimit = count;
+        m_idleLimit = idle;
+    }
     /// Registered no more: what is under way ends, nothing new begins.
     void retire();
     /// Retired, and nothing is under way.
@@ -88,6 +93,7 @@
     ServerRegistration m_registration;
     ServerScore m_score;
     int m_connectionLimit = 1;
+    Duration m_idleLimit;
     bool m_isRetired = false;
     /// Another server answered at this address; cleared by a new registration.
     bool m_isMisplaced = false;
--- a/modules/gateway/include/oleander/gateway/GatewayPolicy.h
+++ b/modules/gateway/include/oleander/gateway/GatewayPolicy.h
@@ -43,6 +43,9 @@
     Duration freshIdleTime = milliseconds(2000);
     /// Idle connections are closed after this time.
     Duration idleLimit = seconds(20);
+    /// The same where connections are scarce, for those that are opened only when needed. Servers
+    /// hold them for longer when an instance loses power.
+    Duration scarceIdleLimit = seconds(2);
     ExtraBudgetRules extras;
 };
 
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -43,7 +43,7 @@
     {
         // The server counts from its last byte; the way there and its clock need some time.
         constexpr Duration closingMargin = milliseconds(700);
-        const Duration limit = m_owner.m_context.policy.idleLimit;
+        const Duration limit = m_owner.m_idleLimit;
         const auto stated = m_link->keepAlive();
         return stated ? std::min(limit, *stated - closingMargin) : limit;
     }
@@ -79,6 +79,7 @@
 BackendServer::BackendServer(ServerContext &context, ServerRegistration registration)
     : m_context(context)
     , m_registration(std::move(registration))
+    , m_idleLimit(context.policy.idleLimit)
 {
     m_score.warmUntil = m_context.timer.now() + m_registration.warmUpLeft;
 }
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -102,7 +102,6 @@
         return;
     std::vector<std::pair<std::uint64_t, BackendServer *>> order;
     for (BackendServer *server : pool.servers) {
-        server->setConnectionLimit(connectionLimit(pool));
         const ServerRegistration &registration = server->registration();
         const std::string &id = registration.id.text();
         constexpr std::uint64_t farAway = std::uint64_t{1} << 63;
@@ -111,15 +110,19 @@
                            server);
     }
     std::ranges::sort(order);
-    order.resize(preferredCount(pool));
     const auto before = std::exchange(pool.preferred, {});
+    const std::size_t preferred = preferredCount(pool);
+    const bool isScarce = preferred < order.size();
     for (const auto &[place, server] : order) {
+        // Where connections are scarce, only the first server keeps one. After a loss of power
+        // servers still hold the connections of before.
+        const bool isKept = !isScarce || server == order.front().second;
+        server->setConnectionLimits(connectionLimit(pool),
+                                    isKept ? m_policy.idleLimit : m_policy.scarceIdleLimit);
+        if (pool.preferred.size() == preferred)
+            continue;
         pool.preferred.push_back(server);
-        // Where connections are scarce, the others are connected to when they are needed. After a
-        // loss of power servers still hold the connections of before.
-        const bool isOpenedAhead =
-            pool.preferred.size() == 1 || order.size() == pool.servers.size();
-        if (isOpenedAhead && std::ranges::find(before, server) == before.end())
+        if (isKept && std::ranges::find(before, server) == before.end())
             warmUpLater(server->registration().id);
     }
 }
--- a/modules/gateway/tests/ServerFleetTest.cpp
+++ b/modules/gateway/tests/ServerFleetTest.cpp
@@ -200,6 +200,16 @@
 TEST_F(CrowdedServiceTest, InstancesThatAllReturnFindRoomBesideTheirOldConnections)
 {
     start(instanceCount);
+    // Requests that come together need the other server of the share, too.
+    int inUse = 0;
+    for (const auto &instance : instances) {
+        for (int number = 0; number < 3; ++number)
+            instance->ask("r" + std::to_string(number), "/one/x", seconds(5));
+        scheduler.runFor(milliseconds(20));
+        inUse += static_cast<int>(instance->fleet.connections());
+    }
+    EXPECT_GT(inUse, instanceCount);
+    scheduler.runFor(seconds(3));
     for (int server = 0; server < serverCount; ++server)
         EXPECT_EQ(servers.tally(addressOf(0, server)).links, instanceCount / serverCount);
     // The former instances are gone without a word: their connections stay.
