--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -18,6 +18,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -54,8 +55,11 @@
 /// their own wait when it is lost.
 constexpr Duration readerPeriod = milliseconds(1200);
 constexpr const char *fleetName = "gateway";
-/// Number of instances that is assumed until it is known.
-constexpr std::size_t assumedInstances = 100;
+/// Number of instances that is assumed until it is known: more than any fleet has.
+constexpr std::size_t assumedInstances = 1000;
+/// Deviations of the sum of all instances' rounded budgets that the unused part of the allowance
+/// must cover; each instance's is half a sending at most.
+constexpr double roundingDeviations = 4;
 
 gateway::GatewayPolicy policyFrom(const GatewaySettings &settings)
 {
@@ -238,10 +242,12 @@
         const auto instances = m_fleetSize.estimate();
         if (!isSettled || !instances)
             return;
-        m_policy.extras.allowance =
-            m_settings.extraAllowance * allowanceUsed / static_cast<double>(*instances);
-        m_policy.instances =
-            static_cast<int>(static_cast<double>(*instances) / connectionsUsed) + 1;
+        const auto count = static_cast<double>(*instances);
+        m_policy.extras.allowance = m_settings.extraAllowance * allowanceUsed / count;
+        const double unused = m_settings.extraAllowance * (1 - allowanceUsed);
+        m_policy.extras.rounding =
+            std::min(1.0, unused / (roundingDeviations * std::sqrt(count) / 2));
+        m_policy.instances = static_cast<int>(count / connectionsUsed) + 1;
         m_fleet.onFleetSize();
     }
 
--- a/modules/gateway/include/oleander/gateway/ExtraBudget.h
+++ b/modules/gateway/include/oleander/gateway/ExtraBudget.h
@@ -18,6 +18,9 @@
     /// Extra sendings in any window that need not be earned.
     double allowance = 1.0;
     Duration window = seconds(10);
+    /// Up to this part of one sending is added by a draw of each instance's own. What is less than
+    /// a whole sending in each of many instances would be lost else.
+    double rounding = 0;
     /// Part of all extra sendings that may be hedges. The rest is kept for requests that have
     /// failed, which cannot be served otherwise.
     double hedgePart = 0.8;
@@ -35,9 +38,9 @@
 class ExtraBudget
 {
 public:
-    /// The allowance counts a window after `processStart`: what was sent by a process that ran here
-    /// before is not known, and all may start at once, more than once in a window.
-    explicit ExtraBudget(TimePoint processStart = {});
+    /// In the first window after `processStart` only a part of the allowance counts, since what was
+    /// sent by a process that ran here before is not known. `draw` is at random from 0 to 1.
+    explicit ExtraBudget(TimePoint processStart = {}, double draw = 0);
 
     /// A request was sent for the first time.
     void noteFirst(const ExtraBudgetRules &rules, TimePoint now);
@@ -57,6 +60,7 @@
     void advance(const ExtraBudgetRules &rules, TimePoint now);
 
     TimePoint m_processStart;
+    double m_draw;
     /// The present slice and those that may still be in the window. With one slice more than fits,
     /// no sending is forgotten too early.
     std::array<Slice, slicesPerWindow + 1> m_slices{};
--- a/modules/gateway/src/ExtraBudget.cpp
+++ b/modules/gateway/src/ExtraBudget.cpp
@@ -2,8 +2,18 @@
 
 namespace oleander::gateway {
 
-ExtraBudget::ExtraBudget(TimePoint processStart)
+namespace {
+
+/// Parts of the allowance. When all instances are started anew, a window sees both: what was sent
+/// before and what fresh processes send.
+constexpr double steadyPart = 0.8;
+constexpr double freshPart = 0.2;
+
+} // namespace
+
+ExtraBudget::ExtraBudget(TimePoint processStart, double draw)
     : m_processStart(processStart)
+    , m_draw(draw)
 {
 }
 
@@ -25,7 +35,8 @@
     // The oldest slice may be out of the window, and earns nothing any more.
     const std::size_t oldest = static_cast<std::size_t>(m_present + 1) % m_slices.size();
     const double earned = rules.share * (sum.firsts - m_slices[oldest].firsts);
-    const double limit = earned + (now - m_processStart < rules.window ? 0.0 : rules.allowance);
+    const double part = now - m_processStart < rules.window ? freshPart : steadyPart;
+    const double limit = earned + part * rules.allowance + rules.rounding * m_draw;
     if (sum.retries + sum.hedges + 1.0 > limit
         || (kind == ExtraKind::Hedge && sum.hedges + 1.0 > rules.hedgePart * limit))
         return false;
--- a/modules/gateway/tests/CallTest.cpp
+++ b/modules/gateway/tests/CallTest.cpp
@@ -116,6 +116,7 @@
 TEST_F(CallTest, RequestThatMayRunOnceMovesOnAfterAProofThatItHasNotRun)
 {
     servers.conduct(addressOf(shards, 0)).refusedShare = 1;
+    instance.policy.extras.allowance = 100;
     for (int number = 0; number < 10; ++number) {
         const auto received =
             instance.ask("r" + std::to_string(number), "/once/x", seconds(15), "POST");
--- a/modules/gateway/tests/LoadPatternTest.cpp
+++ b/modules/gateway/tests/LoadPatternTest.cpp
@@ -127,6 +127,7 @@
     GatewayPolicy policy;
     policy.instances = static_cast<int>(shape.instances / partUsed) + 1;
     policy.extras.allowance = partUsed * fleetsAllowance / shape.instances;
+    policy.extras.rounding = 1;
     return policy;
 }
 
