--- a/modules/gateway/include/oleander/gateway/ExtraBudget.h
+++ b/modules/gateway/include/oleander/gateway/ExtraBudget.h
@@ -19,7 +19,7 @@
     double allowance = 1.0;
     Duration window = seconds(10);
     /// Up to this part of one sending is added by a draw of each instance's own. What is less than
-    /// a whole sending in each of many instances would be lost else.
+    /// a whole sending in each of many instances would otherwise be lost.
     double rounding = 0;
     /// Part of all extra sendings that may be hedges. The rest is kept for requests that have
     /// failed, which cannot be served otherwise.
--- a/modules/gateway/src/ExtraBudget.cpp
+++ b/modules/gateway/src/ExtraBudget.cpp
@@ -1,5 +1,7 @@
 #include <oleander/gateway/ExtraBudget.h>
 
+#include <algorithm>
+
 namespace oleander::gateway {
 
 namespace {
@@ -50,12 +52,10 @@
     const std::int64_t slice =
         now.time_since_epoch() / (rules.window / static_cast<std::int64_t>(slicesPerWindow));
     const auto count = static_cast<std::int64_t>(m_slices.size());
-    if (slice - m_present >= count)
-        m_slices = {};
-    else
-        while (m_present < slice)
-            m_slices[static_cast<std::size_t>(++m_present) % m_slices.size()] = {};
-    m_present = slice;
+    // After a long quiet time each slice is cleared once.
+    m_present = std::max(m_present, slice - count);
+    while (m_present < slice)
+        m_slices[static_cast<std::size_t>(++m_present) % m_slices.size()] = {};
 }
 
 } // namespace oleander::gateway
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -133,8 +133,7 @@
     if (!held) {
         held = std::make_unique<ServicePool>();
         held->id = service;
-        constexpr double drawRange = 18446744073709551616.0; // 2^64
-        held->extras = ExtraBudget(m_started, static_cast<double>(m_random.next()) / drawRange);
+        held->extras = ExtraBudget(m_started, unitInterval(m_random.next()));
     }
     return *held;
 }
--- a/modules/gateway/src/ServerScore.cpp
+++ b/modules/gateway/src/ServerScore.cpp
@@ -1,4 +1,5 @@
 #include <oleander/gateway/ServerScore.h>
+#include <oleander/ports/RandomSource.h>
 
 #include <algorithm>
 #include <cmath>
@@ -150,8 +151,7 @@
     double sum = 0;
     for (const ServerCandidate &candidate : candidates)
         sums.push_back(sum += preferenceFor(candidate, now));
-    constexpr double randomRange = 18446744073709551616.0; // 2^64
-    const double point = static_cast<double>(random) / randomRange * sum;
+    const double point = unitInterval(random) * sum;
     const auto chosen = std::ranges::upper_bound(sums, point);
     const auto position = std::min<std::size_t>(static_cast<std::size_t>(chosen - sums.begin()),
                                                 candidates.size() - 1);
--- a/modules/ports/include/oleander/ports/RandomSource.h
+++ b/modules/ports/include/oleander/ports/RandomSource.h
@@ -4,6 +4,13 @@
 
 namespace oleander {
 
+/// A number of 64 random bits as one in [0, 1].
+[[nodiscard]] inline double unitInterval(std::uint64_t random)
+{
+    constexpr double range = 18446744073709551616.0; // 2^64
+    return static_cast<double>(random) / range;
+}
+
 /// Random numbers; a seeded one makes a session repeatable.
 class RandomSource
 {
