--- a/modules/gateway/src/ServerScore.cpp
+++ b/modules/gateway/src/ServerScore.cpp
@@ -29,7 +29,7 @@
 /// Preference for a server that stands still, relative to one that answers.
 constexpr double stalledPreference = 0.02;
 /// Preference for a server in the same data centre, since bytes between data centres cost.
-constexpr double nearPreference = 8.0;
+constexpr double nearPreference = 20.0;
 /// Preference for a server that is avoided.
 constexpr double avoidedPreference = 0.0005;
 /// Preference for a server that has just started.
--- a/modules/gateway/tests/DecisionsTest.cpp
+++ b/modules/gateway/tests/DecisionsTest.cpp
@@ -186,7 +186,8 @@
     /// Share of choices that fall on the first of two servers.
     double shareOfFirst()
     {
-        const ServerCandidate candidates[] = {{0, &first, 0, firstAge}, {1, &second, 0, 0}};
+        const ServerCandidate candidates[] = {{0, &first, 0, firstAge, firstIsNear},
+                                              {1, &second, 0, 0}};
         constexpr int draws = 1000;
         int chosen = 0;
         for (int draw = 0; draw < draws; ++draw) {
@@ -200,6 +201,7 @@
     ServerScore first;
     ServerScore second;
     double firstAge = 0;
+    bool firstIsNear = false;
 };
 
 TEST_F(ServerChoice, EqualServersShareEqually)
@@ -252,6 +254,16 @@
     EXPECT_GT(shareOfFirst(), 0.2);
 }
 
+// Bytes between data centres cost, and a caller waits longer for them, but not for long.
+TEST_F(ServerChoice, ServerOfTheOwnDataCentreIsPreferredUntilItIsThreeTimesAsSlow)
+{
+    firstIsNear = true;
+    EXPECT_GT(shareOfFirst(), 0.93);
+    first.slowness = 3;
+    first.slownessSeen = now;
+    EXPECT_LT(shareOfFirst(), 0.25);
+}
+
 TEST_F(ServerChoice, AvoidedServerIsChosenOnlyWithoutAnother)
 {
     noteFailedOpening(first, now);
