--- a/modules/gateway/tests/DecisionsTest.cpp
+++ b/modules/gateway/tests/DecisionsTest.cpp
@@ -99,6 +99,7 @@
     std::mt19937_64 random(1);
     std::uniform_real_distribution<double> draw(0, 1);
     std::vector<ExtraBudget> budgets;
+    budgets.reserve(instances);
     for (int number = 0; number < instances; ++number)
         budgets.emplace_back(TimePoint{}, draw(random));
     std::vector<TimePoint> firsts;
