Reading the whole change again: one copy of statuses, orders and times

Cause: the change had written some things twice. A reader of the registry looked through its whole copy once for each instance that waited, though most wait for the same revision.

Change: HttpStatus.h is a public header that all use; placeNearFirst(), ratio() and answerBy() serve both sides; the slices of ExtraBudget are reached in one place; RegistryShare makes its news once a revision. No behaviour is meant to change; no test was touched.

Ruled out: one reading of keys for fleetKey and peerKey (their bounds differ, so one of them would change); the visitors in PeerFields (alike by shape, each names other members).

--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -2,6 +2,7 @@
 #include "gateway/HttpHeaders.h"
 
 #include <oleander/adapters/gateway/AsioServerLinks.h>
+#include <oleander/gateway/HttpStatus.h>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -29,7 +30,6 @@
 constexpr std::size_t readSize = std::size_t{8} * 1024;
 /// Sent bytes that are not acknowledged for this long end the connection.
 constexpr int unacknowledgedLimitMs = 3000;
-constexpr int statusMisdirected = 421;
 constexpr int firstFinalStatus = 200;
 
 std::optional<gateway::ReportedLoad> parseLoad(std::string_view text)
@@ -244,7 +244,7 @@
         reply.fields = endToEndFields(message, {});
         reply.body = std::move(message.body());
         reply.receipt = std::string(message[m_names.receipt]);
-        reply.isMisdirected = reply.status == statusMisdirected;
+        reply.isMisdirected = reply.status == gateway::statusMisdirected;
         reply.isNotExecuted = message.find(m_names.notExecuted) != message.end();
         reply.load = parseLoad(viewOf(message[m_names.reportedLoad]));
         return reply;
--- a/modules/adapters/src/gateway/IngressSession.cpp
+++ b/modules/adapters/src/gateway/IngressSession.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/HttpHeaders.h"
 
+#include <oleander/gateway/HttpStatus.h>
+
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
 
@@ -21,9 +23,6 @@
 constexpr std::size_t readSize = std::size_t{8} * 1024;
 /// Bytes of further requests that are taken in while one is answered.
 constexpr std::size_t readAhead = std::size_t{64} * 1024;
-constexpr int statusBadRequest = 400;
-constexpr int statusTooLarge = 413;
-constexpr int statusHeaderTooLarge = 431;
 
 std::string_view viewOf(beast::string_view text)
 {
@@ -209,11 +208,11 @@
 void IngressSession::refuseMalformed(const error_code &error)
 {
     ++m_shared->counts.malformed;
-    int status = statusBadRequest;
+    int status = gateway::statusBadRequest;
     if (error == http::error::header_limit)
-        status = statusHeaderTooLarge;
+        status = gateway::statusHeaderTooLarge;
     else if (error == http::error::body_limit)
-        status = statusTooLarge;
+        status = gateway::statusTooLarge;
     m_parser.reset();
     m_phase = Phase::Answering;
     m_isClosing = true;
--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -11,6 +11,7 @@
 #include <oleander/adapters/time/SeededRandom.h>
 #include <oleander/daemon/GatewayDaemon.h>
 #include <oleander/gateway/FleetSize.h>
+#include <oleander/gateway/HttpStatus.h>
 #include <oleander/gateway/RegistryShare.h>
 #include <oleander/gateway/SharedRegistryReader.h>
 
@@ -29,8 +30,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusUnavailable = 503;
 /// After a stop signal callers still come until the platform has asked twice whether the instance
 /// is ready, which it does each second.
 constexpr Duration leavingTime = milliseconds(2800);
@@ -269,7 +268,7 @@
     [[nodiscard]] OperatorPage readinessPage() const
     {
         OperatorPage page;
-        page.status = isReady() ? statusOk : statusUnavailable;
+        page.status = isReady() ? gateway::statusOk : gateway::statusUnavailable;
         page.body = isReady() ? "ready\n" : "not ready\n";
         return page;
     }
--- a/modules/gateway/include/oleander/gateway/ExtraBudget.h
+++ b/modules/gateway/include/oleander/gateway/ExtraBudget.h
@@ -58,6 +58,10 @@
     static constexpr std::size_t slicesPerWindow = 10;
 
     void advance(const ExtraBudgetRules &rules, TimePoint now);
+    Slice &slice(std::int64_t number)
+    {
+        return m_slices[static_cast<std::size_t>(number) % m_slices.size()];
+    }
 
     TimePoint m_processStart;
     double m_draw;
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -1,6 +1,5 @@
-#include "HttpStatus.h"
-
 #include <oleander/gateway/BackendServer.h>
+#include <oleander/gateway/HttpStatus.h>
 
 #include <algorithm>
 #include <utility>
--- a/modules/gateway/src/CallBase.cpp
+++ b/modules/gateway/src/CallBase.cpp
@@ -1,5 +1,6 @@
 #include "Calls.h"
-#include "HttpStatus.h"
+
+#include <oleander/gateway/HttpStatus.h>
 
 #include <algorithm>
 #include <cstdio>
@@ -124,8 +125,12 @@
     answer({status, {}, std::string(cause) + "\n"});
 }
 
-ServiceCallPlan CallBase::planFor(const ServiceId &service, TimePoint deadline,
-                                  TimePoint lastRetry) const
+TimePoint CallBase::answerBy() const
+{
+    return m_request->arrived + m_route.objective - m_gateway.m_policy.answerMargin;
+}
+
+ServiceCallPlan CallBase::planFor(const ServiceId &service, TimePoint lastRetry) const
 {
     const GatewayPolicy &policy = m_gateway.m_policy;
     // Before there are samples, a share of the objective stands for what is usual.
@@ -137,8 +142,8 @@
     plan.repeatability = m_route.repeatability;
     plan.priority = m_route.priority;
     plan.maximumAttempts = m_route.maximumAttempts;
-    plan.deadline = deadline;
-    plan.answerBy = m_request->arrived + m_route.objective - policy.answerMargin;
+    plan.deadline = m_deadline;
+    plan.answerBy = answerBy();
     plan.lastRetry = lastRetry;
     plan.retryWaits = {policy.firstRetryWait, policy.longestRetryWait};
     plan.usualLatency = m_latencies->mean(assumed);
--- a/modules/gateway/src/Calls.h
+++ b/modules/gateway/src/Calls.h
@@ -48,8 +48,9 @@
     void fail(int status, std::string_view cause);
     [[nodiscard]] bool isAnswered() const { return !m_answer; }
 
-    [[nodiscard]] ServiceCallPlan planFor(const ServiceId &service, TimePoint deadline,
-                                          TimePoint lastRetry) const;
+    [[nodiscard]] ServiceCallPlan planFor(const ServiceId &service, TimePoint lastRetry) const;
+    /// When an answer must leave to reach the caller within the route's objective.
+    [[nodiscard]] TimePoint answerBy() const;
     void record(EventId event, EventLog::Fields fields) const;
     [[nodiscard]] Duration age() const;
 
--- a/modules/gateway/src/ExtraBudget.cpp
+++ b/modules/gateway/src/ExtraBudget.cpp
@@ -22,40 +22,38 @@
 void ExtraBudget::noteFirst(const ExtraBudgetRules &rules, TimePoint now)
 {
     advance(rules, now);
-    ++m_slices[static_cast<std::size_t>(m_present) % m_slices.size()].firsts;
+    ++slice(m_present).firsts;
 }
 
 bool ExtraBudget::takeExtra(const ExtraBudgetRules &rules, ExtraKind kind, TimePoint now)
 {
     advance(rules, now);
     Slice sum;
-    for (const Slice &slice : m_slices) {
-        sum.firsts += slice.firsts;
-        sum.retries += slice.retries;
-        sum.hedges += slice.hedges;
+    for (const Slice &counted : m_slices) {
+        sum.firsts += counted.firsts;
+        sum.retries += counted.retries;
+        sum.hedges += counted.hedges;
     }
     // The oldest slice may be out of the window, and earns nothing any more.
-    const std::size_t oldest = static_cast<std::size_t>(m_present + 1) % m_slices.size();
-    const double earned = rules.share * (sum.firsts - m_slices[oldest].firsts);
+    const double earned = rules.share * (sum.firsts - slice(m_present + 1).firsts);
     const double part = now - m_processStart < rules.window ? freshPart : steadyPart;
     const double limit = earned + part * rules.allowance + rules.rounding * m_draw;
     if (sum.retries + sum.hedges + 1.0 > limit
         || (kind == ExtraKind::Hedge && sum.hedges + 1.0 > rules.hedgePart * limit))
         return false;
-    Slice &present = m_slices[static_cast<std::size_t>(m_present) % m_slices.size()];
-    ++(kind == ExtraKind::Hedge ? present.hedges : present.retries);
+    ++(kind == ExtraKind::Hedge ? slice(m_present).hedges : slice(m_present).retries);
     return true;
 }
 
 void ExtraBudget::advance(const ExtraBudgetRules &rules, TimePoint now)
 {
-    const std::int64_t slice =
+    const std::int64_t present =
         now.time_since_epoch() / (rules.window / static_cast<std::int64_t>(slicesPerWindow));
     const auto count = static_cast<std::int64_t>(m_slices.size());
     // After a long quiet time each slice is cleared once.
-    m_present = std::max(m_present, slice - count);
-    while (m_present < slice)
-        m_slices[static_cast<std::size_t>(++m_present) % m_slices.size()] = {};
+    m_present = std::max(m_present, present - count);
+    while (m_present < present)
+        slice(++m_present) = {};
 }
 
 } // namespace oleander::gateway
--- a/modules/gateway/src/ForwardCall.cpp
+++ b/modules/gateway/src/ForwardCall.cpp
@@ -1,5 +1,6 @@
 #include "Calls.h"
-#include "HttpStatus.h"
+
+#include <oleander/gateway/HttpStatus.h>
 
 #include <algorithm>
 
@@ -16,7 +17,7 @@
 {
     const ServiceId &service = chooseService();
     const ServiceCallPlan plan =
-        planFor(service, m_deadline, std::min(m_deadline, m_request->arrived + m_route.objective));
+        planFor(service, std::min(m_deadline, m_request->arrived + m_route.objective));
     if (!plan.pool->hasUsableServer()) {
         refuseLater("no server of the service");
         return;
--- a/modules/gateway/src/Gateway.cpp
+++ b/modules/gateway/src/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "Calls.h"
-#include "HttpStatus.h"
+
+#include <oleander/gateway/HttpStatus.h>
 
 #include <utility>
 
--- a/modules/gateway/src/GatherCall.cpp
+++ b/modules/gateway/src/GatherCall.cpp
@@ -1,6 +1,6 @@
 #include "Calls.h"
-#include "HttpStatus.h"
 
+#include <oleander/gateway/HttpStatus.h>
 #include <oleander/gateway/RecordMerge.h>
 
 #include <algorithm>
@@ -31,17 +31,15 @@
     m_openShards = m_route.shards.size();
     for (std::size_t shard = 0; shard < m_route.shards.size(); ++shard)
         askShard(shard);
-    const Duration untilClose = m_request->arrived + m_route.objective
-                                - m_gateway.m_policy.answerMargin - m_gateway.m_timer.now();
+    const Duration untilClose = answerBy() - m_gateway.m_timer.now();
     m_objectiveTimer = m_gateway.m_timer.callAfter(
         std::max(Duration{}, untilClose), [this](const TimerTick &) { onObjectiveClose(); });
 }
 
 void GatherCall::askShard(std::size_t shard)
 {
-    m_calls[shard] =
-        std::make_shared<ServiceCall>(m_gateway.m_fleet, m_gateway.m_timer,
-                                      planFor(m_route.shards[shard], m_deadline, m_deadline));
+    m_calls[shard] = std::make_shared<ServiceCall>(m_gateway.m_fleet, m_gateway.m_timer,
+                                                   planFor(m_route.shards[shard], m_deadline));
     m_calls[shard]->start(
         [this, shard](ServiceOutcome outcome) { onOutcome(shard, std::move(outcome)); });
 }
--- a/modules/gateway/src/RegistryShare.cpp
+++ b/modules/gateway/src/RegistryShare.cpp
@@ -1,5 +1,6 @@
 #include <oleander/gateway/RegistryShare.h>
 
+#include <unordered_map>
 #include <utility>
 
 namespace oleander::gateway {
@@ -52,8 +53,14 @@
     }
     if (m_waiting.empty())
         m_tick.reset();
-    for (Waiting &entry : due)
-        entry.reply(news(entry.after));
+    // Most of those that wait know the same revision.
+    std::unordered_map<RegistryRevision, RegistryNews> newsAfter;
+    for (Waiting &entry : due) {
+        const auto [found, isNew] = newsAfter.try_emplace(entry.after);
+        if (isNew)
+            found->second = news(entry.after);
+        entry.reply(found->second);
+    }
 }
 
 RegistryNews RegistryShare::news(std::optional<RegistryRevision> after) const
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -1,3 +1,6 @@
+#include "NearFirst.h"
+#include "Ratio.h"
+
 #include <oleander/gateway/ServerFleet.h>
 
 #include <xxhash.h>
@@ -104,10 +107,8 @@
     for (BackendServer *server : pool.servers) {
         const ServerRegistration &registration = server->registration();
         const std::string &id = registration.id.text();
-        constexpr std::uint64_t farAway = std::uint64_t{1} << 63;
-        const std::uint64_t place = XXH3_64bits_withSeed(id.data(), id.size(), m_orderSeed) >> 1;
-        order.emplace_back(registration.dataCentre == m_dataCentre ? place : place | farAway,
-                           server);
+        const std::uint64_t hash = XXH3_64bits_withSeed(id.data(), id.size(), m_orderSeed);
+        order.emplace_back(placeNearFirst(hash, registration.dataCentre == m_dataCentre), server);
     }
     std::ranges::sort(order);
     const auto before = std::exchange(pool.preferred, {});
@@ -167,10 +168,8 @@
         ServerCandidate candidate{index, &server.score(), server.inFlight(), 0,
                                   server.registration().dataCentre == m_dataCentre};
         const auto oldest = server.oldestSent();
-        if (oldest && usualLatency > Duration{}) {
-            candidate.oldestAge = static_cast<double>((now - *oldest).count())
-                                  / static_cast<double>(usualLatency.count());
-        }
+        if (oldest && usualLatency > Duration{})
+            candidate.oldestAge = ratio(now - *oldest, usualLatency);
         candidates.push_back(candidate);
     }
     return candidates;
--- a/modules/gateway/src/ServerScore.cpp
+++ b/modules/gateway/src/ServerScore.cpp
@@ -1,3 +1,5 @@
+#include "Ratio.h"
+
 #include <oleander/gateway/ServerScore.h>
 #include <oleander/ports/RandomSource.h>
 
@@ -48,11 +50,6 @@
     return average + sampleWeight * (sample - average);
 }
 
-double ratio(Duration part, Duration whole)
-{
-    return static_cast<double>(part.count()) / static_cast<double>(whole.count());
-}
-
 void noteSlowness(ServerScore &score, double relative, TimePoint now)
 {
     const double faded = 1.0 - std::exp(-ratio(now - score.slownessSeen, sampleLife));
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -1,5 +1,4 @@
-#include "HttpStatus.h"
-
+#include <oleander/gateway/HttpStatus.h>
 #include <oleander/gateway/ServiceCall.h>
 
 #include <algorithm>
--- a/modules/gateway/src/SharedRegistryReader.cpp
+++ b/modules/gateway/src/SharedRegistryReader.cpp
@@ -1,3 +1,5 @@
+#include "NearFirst.h"
+
 #include <oleander/gateway/RegistryShare.h>
 #include <oleander/gateway/SharedRegistryReader.h>
 
@@ -125,9 +127,8 @@
 {
     // Spreads the instances of one data centre over its readers.
     const std::string pair = m_role.self.text() + "\n" + reader.instance.id.text();
-    const std::uint64_t place = XXH3_64bits(pair.data(), pair.size()) >> 1;
-    constexpr std::uint64_t farAway = std::uint64_t{1} << 63;
-    return reader.instance.dataCentre == m_role.dataCentre ? place : place | farAway;
+    return placeNearFirst(XXH3_64bits(pair.data(), pair.size()),
+                          reader.instance.dataCentre == m_role.dataCentre);
 }
 
 void SharedRegistryReader::ask(const Instance &reader, const RegistryQuestion &question,
