--- a/modules/adapters/include/oleander/adapters/gateway/FleetBeacon.h
+++ b/modules/adapters/include/oleander/adapters/gateway/FleetBeacon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <oleander/core/FleetView.h>
 #include <oleander/core/Ids.h>
 #include <oleander/core/Reason.h>
 #include <oleander/ports/TimerService.h>
@@ -29,13 +30,21 @@
     std::uint16_t peerPort = 0;
     /// True when it reads the registry for others.
     bool isReader = false;
+    /// Processor share, in cores.
+    double strength = 0;
+    /// True when it takes no new requests.
+    bool isLeaving = false;
+    /// The coordinators that it has elected. Only stated by seeds, and only in replies.
+    std::vector<Instance> coordinators;
 };
 
 /// Tells a few seed instances over UDP that this instance is there, and hears from them how many
 /// have told them. All instances use the same UDP port.
 ///
 /// Datagrams are JSON: `{"instance": NAME, "dataCentre": NAME, "heardOf": COUNT, "peerPort":
-/// PORT, "isReader": BOOL, "isReply": BOOL}`. One that is lost is made up by the next.
+/// PORT, "isReader": BOOL, "isReply": BOOL, "strength": CORES, "isLeaving": BOOL, "coordinators":
+/// [[NAME, DATA CENTRE, ADDRESS]]}`; the last three may be missing. One that is lost is made up by
+/// the next.
 class FleetBeacon
 {
 public:
@@ -56,6 +65,9 @@
     std::optional<std::uint16_t> start(const Address &address, const std::vector<Address> &seeds,
                                        Reason &reason);
 
+    /// Calls the seeds now, besides the periodic calls.
+    void announce();
+
 private:
     class Impl;
     std::shared_ptr<Impl> m_impl;
--- a/modules/adapters/include/oleander/adapters/peers/Http2PeerNetwork.h
+++ b/modules/adapters/include/oleander/adapters/peers/Http2PeerNetwork.h
@@ -47,7 +47,7 @@
 /// All functions, callbacks and the handler run on the thread that runs the context. Callbacks may
 /// call functions of the network but must not destroy it. Other threads use WorkerPeerNetwork. The
 /// destructor closes all sessions, and no callback runs after that.
-class Http2PeerNetwork final : public PeerNetwork
+class Http2PeerNetwork final : public PeerNetwork, public PeerProber
 {
 public:
     /// All arguments must outlive the network.
@@ -72,6 +72,10 @@
     void setHandler(PeerHandler *handler) override;
     void beginStop() override;
 
+    // PeerProber
+    void probe(const Instance &peer, Duration timeout,
+               std::function<void(bool isResponsive)> callback) override;
+
     [[nodiscard]] PeerNetworkStatistics statistics() const;
 
 private:
--- a/modules/adapters/src/gateway/FleetBeacon.cpp
+++ b/modules/adapters/src/gateway/FleetBeacon.cpp
@@ -22,7 +22,8 @@
 constexpr Duration firstPeriod = milliseconds(500);
 constexpr Duration laterPeriod = seconds(3);
 constexpr int quickCalls = 6;
-constexpr std::size_t largestDatagram = 1024;
+constexpr std::size_t largestDatagram = 4096;
+constexpr std::size_t maximumCoordinators = 64;
 
 struct Message
 {
@@ -32,11 +33,36 @@
 
 std::string encode(const Message &message)
 {
-    return json{
-        {"instance", message.news.instance.text()}, {"dataCentre", message.news.dataCentre.text()},
-        {"heardOf", message.news.heardOf},          {"peerPort", message.news.peerPort},
-        {"isReader", message.news.isReader},        {"isReply", message.isReply}}
-        .dump();
+    const BeaconNews &news = message.news;
+    json document{{"instance", news.instance.text()}, {"dataCentre", news.dataCentre.text()},
+                  {"heardOf", news.heardOf},          {"peerPort", news.peerPort},
+                  {"isReader", news.isReader},        {"isReply", message.isReply},
+                  {"strength", news.strength}};
+    if (news.isLeaving)
+        document["isLeaving"] = true;
+    if (message.isReply && !news.coordinators.empty()) {
+        json list = json::array();
+        for (const Instance &coordinator : news.coordinators)
+            list.push_back(
+                {coordinator.id.text(), coordinator.dataCentre.text(), coordinator.peerAddress});
+        document["coordinators"] = std::move(list);
+    }
+    return document.dump();
+}
+
+std::vector<Instance> decodeCoordinators(const json &list)
+{
+    std::vector<Instance> coordinators;
+    for (const json &entry : list) {
+        if (coordinators.size() == maximumCoordinators)
+            break;
+        Instance coordinator;
+        coordinator.id = InstanceId(entry.at(0).get<std::string>());
+        coordinator.dataCentre = DataCentreId(entry.at(1).get<std::string>());
+        coordinator.peerAddress = entry.at(2).get<std::string>();
+        coordinators.push_back(std::move(coordinator));
+    }
+    return coordinators;
 }
 
 std::optional<Message> decode(std::string_view text)
@@ -46,11 +72,19 @@
         const json &heardOf = document.at("heardOf");
         if (!heardOf.is_number_unsigned())
             return std::nullopt;
-        return Message{{InstanceId(document.at("instance").get<std::string>()),
-                        DataCentreId(document.at("dataCentre").get<std::string>()),
-                        heardOf.get<std::size_t>(), document.at("peerPort").get<std::uint16_t>(),
-                        document.at("isReader").get<bool>()},
-                       document.at("isReply").get<bool>()};
+        Message message;
+        message.news.instance = InstanceId(document.at("instance").get<std::string>());
+        message.news.dataCentre = DataCentreId(document.at("dataCentre").get<std::string>());
+        message.news.heardOf = heardOf.get<std::size_t>();
+        message.news.peerPort = document.at("peerPort").get<std::uint16_t>();
+        message.news.isReader = document.at("isReader").get<bool>();
+        message.isReply = document.at("isReply").get<bool>();
+        message.news.strength = document.value("strength", 0.0);
+        message.news.isLeaving = document.value("isLeaving", false);
+        const auto coordinators = document.find("coordinators");
+        if (coordinators != document.end())
+            message.news.coordinators = decodeCoordinators(*coordinators);
+        return message;
     } catch (const json::exception &) {
         // Whatever a stranger sends to the port; it names no instance.
         return std::nullopt;
@@ -105,11 +139,16 @@
         m_socket.close(ignored);
     }
 
-private:
-    void call()
+    void announce()
     {
         for (const udp::endpoint &seed : m_seeds)
             send({m_source(), false}, seed);
+    }
+
+private:
+    void call()
+    {
+        announce();
         const Duration period = ++m_calls <= quickCalls ? firstPeriod : laterPeriod;
         m_next = m_timer.callAfter(period, [this](const TimerTick &) { call(); });
     }
@@ -173,4 +212,9 @@
     return m_impl->start(address, seeds, reason);
 }
 
+void FleetBeacon::announce()
+{
+    m_impl->announce();
+}
+
 } // namespace oleander
--- a/modules/adapters/src/peers/Http2PeerNetwork.cpp
+++ b/modules/adapters/src/peers/Http2PeerNetwork.cpp
@@ -24,6 +24,8 @@
 constexpr Duration pauseThreshold = milliseconds(100);
 /// After a failed attempt to open a session, calls to that peer fail immediately for this time.
 constexpr Duration reconnectDelay = milliseconds(50);
+/// A probe that ends later than this says nothing.
+constexpr Duration probeLateness = milliseconds(10);
 constexpr Duration acceptRetryDelay = milliseconds(100);
 /// At most one log line about refused peers is written in this time, however many connections are
 /// refused.
@@ -111,6 +113,24 @@
             session->abandonCall(id);
     }
 
+    void probe(const Instance &peer, Duration timeout, std::function<void(bool)> callback)
+    {
+        const TimePoint sentAt = steadyNow();
+        const auto session = sessionTo(peer, sentAt);
+        if (session)
+            session->ping();
+        const std::uint64_t id = ++m_lastProbe;
+        m_probes[id] =
+            m_timers.callAfter(timeout, [this, id, sentAt, session = std::weak_ptr(session),
+                                         callback = std::move(callback)](const TimerTick &tick) {
+                const auto keptAlive = m_probes.extract(id);
+                const auto held = session.lock();
+                // A process that was paused itself, or had much to do, knows nothing of the peer.
+                const bool wasPaused = tick.lateness() > probeLateness;
+                callback(wasPaused || (held && held->hasReceivedSince(sentAt)));
+            });
+    }
+
     PeerNetworkStatistics statistics() const
     {
         PeerNetworkStatistics result;
@@ -326,6 +346,8 @@
     /// Earliest time of the next connection attempt after a failed one, by instance and address.
     std::unordered_map<std::string, TimePoint> m_reconnectNotBefore;
     std::size_t m_authenticatedServers = 0;
+    std::unordered_map<std::uint64_t, Subscription> m_probes;
+    std::uint64_t m_lastProbe = 0;
     std::uint64_t m_lastCall = 0;
     std::uint64_t m_refusedSessions = 0;
     TimePoint m_nextRefusalLog;
@@ -366,6 +388,12 @@
     m_impl->cancel(call);
 }
 
+void Http2PeerNetwork::probe(const Instance &peer, Duration timeout,
+                             std::function<void(bool isResponsive)> callback)
+{
+    m_impl->probe(peer, timeout, std::move(callback));
+}
+
 void Http2PeerNetwork::setHandler(PeerHandler *handler)
 {
     m_impl->setHandler(handler);
--- a/modules/adapters/src/peers/Http2Transport.cpp
+++ b/modules/adapters/src/peers/Http2Transport.cpp
@@ -227,16 +227,23 @@
         end("closed after a planned stop");
         return;
     }
-    error_code ignored;
-    // Data that has arrived but was not read yet also shows that the connection works.
-    if (!isReplyExpected || m_isClosed || m_socket.available(ignored) > 0)
+    if (m_isClosed)
         return;
-    if (m_isPinged && m_pingedAt > m_lastReceivedAt) {
+    const bool isPingUnanswered = m_isPinged && m_pingedAt > m_lastReceivedAt;
+    if ((!isReplyExpected && !isPingUnanswered) || hasUnreadData())
+        return;
+    if (isPingUnanswered) {
         if (now - m_pingedAt > pingTimeout)
             end("silent: no answer to a ping");
         return;
     }
-    if (now - m_lastReceivedAt < silenceBeforePing)
+    if (now - m_lastReceivedAt >= silenceBeforePing)
+        ping(now);
+}
+
+void Http2Transport::ping(TimePoint now)
+{
+    if (m_isClosed || (m_isPinged && m_pingedAt > m_lastReceivedAt))
         return;
     nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
     m_isPinged = true;
@@ -244,6 +251,17 @@
     scheduleFlush();
 }
 
+bool Http2Transport::hasReceivedSince(TimePoint time) const
+{
+    return !m_isClosed && (m_lastReceivedAt >= time || hasUnreadData());
+}
+
+bool Http2Transport::hasUnreadData() const
+{
+    error_code ignored;
+    return m_socket.available(ignored) > 0;
+}
+
 void Http2Transport::resetSilence(TimePoint now)
 {
     m_lastReceivedAt = now;
--- a/modules/adapters/src/peers/Http2Transport.h
+++ b/modules/adapters/src/peers/Http2Transport.h
@@ -66,6 +66,11 @@
     /// connection if the PING is not answered. Must be called periodically. `isReplyExpected` tells
     /// whether the other side has to send something.
     void checkSilence(TimePoint now, bool isReplyExpected);
+    /// Sends a PING now, unless one is unanswered. checkSilence() closes the connection if the PING
+    /// is not answered in time.
+    void ping(TimePoint now);
+    /// True when data has arrived since `time`, even if it was not read yet.
+    [[nodiscard]] bool hasReceivedSince(TimePoint time) const;
     /// Restarts the time without received data, because this process itself was paused.
     void resetSilence(TimePoint now);
     [[nodiscard]] TimePoint lastReceivedAt() const { return m_lastReceivedAt; }
@@ -85,6 +90,7 @@
     struct Callbacks;
     friend struct Callbacks;
 
+    [[nodiscard]] bool hasUnreadData() const;
     void makeSession(Role role);
     void submitSettings();
     nghttp2_data_provider provideBody(Http2StreamId stream, std::string body);
--- a/modules/adapters/src/peers/PeerClientSession.cpp
+++ b/modules/adapters/src/peers/PeerClientSession.cpp
@@ -25,6 +25,11 @@
 {
     if (auto *query = std::get_if<PeerQuery>(&request))
         query->timeLeft = std::min(query->timeLeft, timeLeft);
+    if (auto *gather = std::get_if<PeerGather>(&request)) {
+        const Duration waited = std::max(Duration{}, gather->timeLeft - timeLeft);
+        gather->timeLeft -= waited;
+        gather->replyWithin -= waited;
+    }
 }
 
 template <typename Headers>
@@ -98,6 +103,18 @@
         m_transport->resetSilence(now);
 }
 
+void PeerClientSession::ping()
+{
+    m_lastUsed = steadyNow();
+    if (m_transport)
+        m_transport->ping(m_lastUsed);
+}
+
+bool PeerClientSession::hasReceivedSince(TimePoint time) const
+{
+    return m_transport && m_transport->hasReceivedSince(time);
+}
+
 bool PeerClientSession::acceptsCalls() const
 {
     return m_state == State::Connecting || m_state == State::Greeting || m_state == State::Open;
--- a/modules/adapters/src/peers/PeerClientSession.h
+++ b/modules/adapters/src/peers/PeerClientSession.h
@@ -48,6 +48,10 @@
     /// periodically.
     void tick(TimePoint now);
     void resetSilence(TimePoint now);
+    /// Asks the peer for a sign of life. Without effect while the session opens, since its
+    /// handshake is one.
+    void ping();
+    [[nodiscard]] bool hasReceivedSince(TimePoint time) const;
     [[nodiscard]] const Instance &peer() const { return m_peer; }
     [[nodiscard]] bool wasOpen() const { return m_wasOpen; }
     /// Whether new calls may be started.
--- a/modules/adapters/src/peers/PeerCodec.cpp
+++ b/modules/adapters/src/peers/PeerCodec.cpp
@@ -12,6 +12,9 @@
 constexpr const char *viewsName = "views";
 constexpr const char *registryQuestionName = "registryQuestion";
 constexpr const char *registryNewsName = "registryNews";
+constexpr const char *packedRegistryNewsName = "registryNewsPacked";
+constexpr const char *gatherName = "gather";
+constexpr const char *gatheredName = "gathered";
 
 constexpr std::size_t maximumListSize = 65536;
 constexpr std::size_t maximumMapSize = 64;
@@ -69,29 +72,41 @@
     Message message;
     MessagePackReader reader;
     reader.read(envelope.members, message);
-    if (reader.isGood())
+    if constexpr (std::is_same_v<Message, PackedRegistryChanges>) {
+        if (reader.isGood())
+            return unpack(std::move(message), reason);
+    } else if (reader.isGood()) {
         return Result(std::move(message));
+    }
     reason.set(ErrorKind::BadRequest,
                "message '" + std::string(envelope.name) + "', " + reader.fault());
     return std::nullopt;
 }
 
-/// `First` and `Last` are the message types that are specific to requests or to replies.
-template <typename First, typename Last, typename Result>
-std::optional<Result> decode(std::string_view bytes, std::string_view firstName,
-                             std::string_view lastName, Reason &reason)
+/// One kind of message and the name that it has on the wire.
+template <typename Message>
+struct Kind
+{
+    std::string_view name;
+};
+
+/// Decodes a message of any of the kinds.
+template <typename Result, typename... Messages>
+std::optional<Result> decode(std::string_view bytes, Reason &reason, Kind<Messages>... kinds)
 {
     const std::optional<Envelope> envelope = openEnvelope(bytes, reason);
     if (!envelope)
         return std::nullopt;
-    if (envelope->name == firstName)
-        return decodeMembers<First, Result>(*envelope, reason);
-    if (envelope->name == viewsName)
-        return decodeMembers<ViewExchange, Result>(*envelope, reason);
-    if (envelope->name == lastName)
-        return decodeMembers<Last, Result>(*envelope, reason);
-    reason.set(ErrorKind::BadRequest, "unknown kind of message between daemons");
-    return std::nullopt;
+    std::optional<Result> result;
+    const auto decodeIfNamed = [&]<typename Message>(const Kind<Message> &kind) {
+        if (envelope->name != kind.name)
+            return false;
+        result = decodeMembers<Message, Result>(*envelope, reason);
+        return true;
+    };
+    if (!(decodeIfNamed(kinds) || ...))
+        reason.set(ErrorKind::BadRequest, "unknown kind of message between daemons");
+    return result;
 }
 
 } // namespace
@@ -102,6 +117,8 @@
         return encode(queryName, *query);
     if (const auto *question = std::get_if<RegistryChangesRequest>(&request))
         return encode(registryQuestionName, *question);
+    if (const auto *gather = std::get_if<PeerGather>(&request))
+        return encode(gatherName, *gather);
     return encode(viewsName, std::get<ViewExchange>(request));
 }
 
@@ -109,21 +126,29 @@
 {
     if (const auto *answer = std::get_if<PeerAnswer>(&reply))
         return encode(answerName, *answer);
-    if (const auto *news = std::get_if<RegistryChanges>(&reply))
+    if (const auto *news = std::get_if<RegistryChanges>(&reply)) {
+        if (isWorthPacking(*news))
+            return encode(packedRegistryNewsName, pack(*news));
         return encode(registryNewsName, *news);
+    }
+    if (const auto *gathered = std::get_if<PeerGatherReply>(&reply))
+        return encode(gatheredName, *gathered);
     return encode(viewsName, std::get<ViewExchange>(reply));
 }
 
 std::optional<PeerRequest> decodePeerRequest(std::string_view bytes, Reason &reason)
 {
-    return decode<PeerQuery, RegistryChangesRequest, PeerRequest>(bytes, queryName,
-                                                                  registryQuestionName, reason);
+    return decode<PeerRequest>(
+        bytes, reason, Kind<PeerQuery>{queryName}, Kind<ViewExchange>{viewsName},
+        Kind<RegistryChangesRequest>{registryQuestionName}, Kind<PeerGather>{gatherName});
 }
 
 std::optional<PeerReply> decodePeerReply(std::string_view bytes, Reason &reason)
 {
-    return decode<PeerAnswer, RegistryChanges, PeerReply>(bytes, answerName, registryNewsName,
-                                                          reason);
+    return decode<PeerReply>(bytes, reason, Kind<PeerAnswer>{answerName},
+                             Kind<ViewExchange>{viewsName}, Kind<RegistryChanges>{registryNewsName},
+                             Kind<PackedRegistryChanges>{packedRegistryNewsName},
+                             Kind<PeerGatherReply>{gatheredName});
 }
 
 } // namespace oleander
--- a/modules/adapters/src/peers/PeerFields.h
+++ b/modules/adapters/src/peers/PeerFields.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "peers/PackedRegistryChanges.h"
+
 #include <oleander/ports/PeerMessage.h>
 
 #include <concepts>
@@ -171,6 +173,83 @@
     visitor("age", age);
 }
 
+template <Is<PackedRegistryChanges> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[isKnown, items, revision, age] = message;
+    visitor("known", isKnown);
+    visitor("items", items);
+    visitor("revision", revision);
+    visitor("age", age);
+}
+
+template <Is<PeerField> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[name, value] = message;
+    visitor("name", name);
+    visitor("value", value);
+}
+
+template <Is<GatherRules> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[route, shards, recordLimit, minimumShare, maximumAttempts, priority, objective] =
+        message;
+    visitor("route", route);
+    visitor("shards", shards);
+    visitor("recordLimit", recordLimit);
+    visitor("minimumShare", minimumShare);
+    visitor("maximumAttempts", maximumAttempts);
+    visitor("priority", priority);
+    visitor("objective", objective);
+}
+
+template <Is<PeerGather> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[from, request, method, target, host, fields, body, rulesDigest, rules, shards,
+           minimumParts, timeLeft, replyWithin, isRerun] = message;
+    visitor("from", from);
+    visitor("request", request);
+    visitor("method", method);
+    visitor("target", target);
+    visitor("host", host);
+    visitor("fields", fields);
+    visitor("body", body);
+    visitor("rulesDigest", rulesDigest);
+    visitor("rules", rules);
+    visitor("shards", shards);
+    visitor("minimumParts", minimumParts);
+    visitor("timeLeft", timeLeft);
+    visitor("replyWithin", replyWithin);
+    visitor("rerun", isRerun);
+}
+
+template <Is<ShardReceipt> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[shard, receipt] = message;
+    visitor("shard", shard);
+    visitor("receipt", receipt);
+}
+
+template <Is<PeerGatherReply> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[needsRules, isBusy, status, fields, body, receipts, missingShards, elapsed,
+           activeGathers] = message;
+    visitor("needsRules", needsRules);
+    visitor("busy", isBusy);
+    visitor("status", status);
+    visitor("fields", fields);
+    visitor("body", body);
+    visitor("receipts", receipts);
+    visitor("missing", missingShards);
+    visitor("elapsed", elapsed);
+    visitor("active", activeGathers);
+}
+
 /// A type whose members visit() lists.
 template <typename T>
 concept Message = requires(T &message)
--- a/modules/adapters/tests/gateway/FleetBeaconTest.cpp
+++ b/modules/adapters/tests/gateway/FleetBeaconTest.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <gtest/gtest.h>
 
+#include <map>
 #include <utility>
 
 using namespace oleander;
@@ -19,21 +20,43 @@
         , beacon(
               context, timer,
               [this, name] {
-                  return BeaconNews{InstanceId(name), DataCentreId("here"), size.heardOf(), 7,
-                                    name == "i-1"};
+                  BeaconNews news;
+                  news.instance = InstanceId(name);
+                  news.dataCentre = DataCentreId("here");
+                  news.heardOf = size.heardOf();
+                  news.peerPort = 7;
+                  news.isReader = name == "i-1";
+                  news.strength = 0.5;
+                  if (news.isReader)
+                      news.coordinators = {coordinator()};
+                  return news;
               },
               [this](const BeaconNews &news, const std::string &number) {
                   size.onBeacon(news.instance);
                   size.addReportedCount(news.heardOf);
                   if (news.isReader)
                       reader = number;
+                  strengths[news.instance.text()] = news.strength;
+                  if (!news.coordinators.empty())
+                      coordinators = news.coordinators;
               })
     {
     }
 
+    static oleander::Instance coordinator()
+    {
+        oleander::Instance instance;
+        instance.id = InstanceId("i-3");
+        instance.dataCentre = DataCentreId("there");
+        instance.peerAddress = "127.0.0.3:7";
+        return instance;
+    }
+
     gateway::FleetSize size;
     FleetBeacon beacon;
     std::string reader;
+    std::map<std::string, double> strengths;
+    std::vector<oleander::Instance> coordinators;
 };
 
 // All of 127.0.0.0/8 is this machine, so that instances share a port as they do on a platform.
@@ -62,6 +85,8 @@
     for (const auto &instance : instances)
         EXPECT_EQ(instance->size.estimate(), 4U);
     EXPECT_EQ(instances.back()->reader, "127.0.0.1");
+    EXPECT_EQ(instances.back()->coordinators, std::vector{Instance::coordinator()});
+    EXPECT_EQ(instances.front()->strengths.at("i-4"), 0.5);
 }
 
 } // namespace
--- a/modules/adapters/tests/peers/PeerCodecTest.cpp
+++ b/modules/adapters/tests/peers/PeerCodecTest.cpp
@@ -63,9 +63,59 @@
     return news;
 }
 
+GatherRules gatherRules()
+{
+    GatherRules rules;
+    rules.route = *generators::text(0, 9);
+    for (int count = *rc::gen::inRange(0, 5); count > 0; --count)
+        rules.shards.emplace_back(*generators::text(0, 9));
+    rules.recordLimit = *rc::gen::arbitrary<std::uint64_t>();
+    rules.minimumShare = *rc::gen::element(0.0, 0.95, 1.0);
+    rules.maximumAttempts = *rc::gen::arbitrary<int>();
+    rules.priority = *rc::gen::arbitrary<int>();
+    rules.objective = *generators::duration();
+    return rules;
+}
+
+PeerGather gather()
+{
+    PeerGather gather;
+    gather.from = InstanceId(*generators::text(0, 9));
+    gather.request = RequestId(*generators::text(0, 9));
+    gather.method = *rc::gen::arbitrary<std::string>();
+    gather.target = *rc::gen::arbitrary<std::string>();
+    gather.fields = {{*rc::gen::arbitrary<std::string>(), *rc::gen::arbitrary<std::string>()}};
+    gather.body = *rc::gen::arbitrary<std::string>();
+    gather.rulesDigest = *rc::gen::arbitrary<std::uint64_t>();
+    if (*rc::gen::arbitrary<bool>())
+        gather.rules = gatherRules();
+    gather.shards = *rc::gen::arbitrary<std::vector<std::uint32_t>>();
+    gather.timeLeft = *generators::duration();
+    gather.replyWithin = -*generators::duration();
+    gather.isRerun = *rc::gen::arbitrary<bool>();
+    return gather;
+}
+
+PeerGatherReply gathered()
+{
+    PeerGatherReply reply;
+    reply.needsRules = *rc::gen::arbitrary<bool>();
+    reply.isBusy = *rc::gen::arbitrary<bool>();
+    reply.status = *rc::gen::arbitrary<int>();
+    reply.body = *rc::gen::arbitrary<std::string>();
+    for (int count = *rc::gen::inRange(0, 4); count > 0; --count)
+        reply.receipts.push_back(
+            {*rc::gen::arbitrary<std::uint32_t>(), *rc::gen::arbitrary<std::string>()});
+    reply.missingShards = *rc::gen::arbitrary<std::uint64_t>();
+    reply.elapsed = *generators::duration();
+    return reply;
+}
+
 PeerRequest request()
 {
-    const int kind = *rc::gen::inRange(0, 3);
+    const int kind = *rc::gen::inRange(0, 4);
+    if (kind == 3)
+        return gather();
     if (kind == 0)
         return views();
     if (kind == 1)
@@ -76,7 +126,9 @@
 
 PeerReply reply()
 {
-    const int kind = *rc::gen::inRange(0, 3);
+    const int kind = *rc::gen::inRange(0, 4);
+    if (kind == 3)
+        return gathered();
     if (kind == 0)
         return views();
     if (kind == 1)
@@ -100,6 +152,50 @@
     RC_ASSERT(decodePeerReply(encodePeerReply(sent), reason) == sent);
 }
 
+namespace {
+
+/// The content of a registry as a seed sends it to an instance that starts.
+RegistryChanges longNews()
+{
+    RegistryChanges news;
+    for (int number = 0; number < 500; ++number) {
+        const std::string text = std::to_string(number);
+        news.items.push_back({"servers/i-" + text,
+                              R"({"service":"s)" + text + R"(","state":"ready","slots":3})",
+                              false});
+    }
+    news.revision = 7;
+    news.age = milliseconds(3);
+    return news;
+}
+
+} // namespace
+
+TEST(PeerCodec, LongRegistryContentIsCompressed)
+{
+    RegistryChanges news = longNews();
+    std::size_t plainBytes = 0;
+    for (const RegistryItem &item : news.items)
+        plainBytes += item.key.size() + item.value.size();
+    std::string bytes = encodePeerReply(news);
+    EXPECT_LT(bytes.size(), plainBytes / 4);
+    Reason reason;
+    EXPECT_EQ(decodePeerReply(bytes, reason), PeerReply(news));
+    // The compressed items that are kept for further replies are not those of other content.
+    news.items.back().value = "changed";
+    news.revision = 8;
+    EXPECT_EQ(decodePeerReply(encodePeerReply(news), reason), PeerReply(news));
+}
+
+RC_GTEST_PROP(PeerCodec, ChangedCompressedContentNeverCrashes, ())
+{
+    std::string bytes = encodePeerReply(longNews());
+    for (int count = *rc::gen::inRange(1, 5); count > 0; --count)
+        bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+    Reason reason;
+    (void)decodePeerReply(bytes, reason);
+}
+
 RC_GTEST_PROP(PeerCodec, TruncatedMessageIsRefused, ())
 {
     std::string bytes = encodePeerRequest(request());
--- a/modules/core/include/oleander/core/Event.h
+++ b/modules/core/include/oleander/core/Event.h
@@ -24,6 +24,8 @@
     ConfigurationOld = 202,
     InstanceListChanged = 210,
     PartitionMapChanged = 211,
+    CoordinatorsChanged = 212,
+    CoordinatorFailed = 213,
     PlatformUnreachable = 220,
     PlatformReachable = 221,
     RegistrationUnreadable = 222,
--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -10,7 +10,10 @@
 #include <oleander/adapters/time/AsioTimerService.h>
 #include <oleander/adapters/time/SeededRandom.h>
 #include <oleander/daemon/GatewayDaemon.h>
+#include <oleander/gateway/FleetMembers.h>
 #include <oleander/gateway/FleetSize.h>
+#include <oleander/gateway/GatherDelegation.h>
+#include <oleander/gateway/GatherServer.h>
 #include <oleander/gateway/HttpStatus.h>
 #include <oleander/gateway/RegistryRelay.h>
 #include <oleander/gateway/SharedRegistryReader.h>
@@ -66,6 +69,7 @@
     policy.extraAttempts.share = settings.extraShare * extraShareUsed;
     policy.extraAttempts.allowance = settings.extraAllowance * allowanceUsed / assumedInstances;
     policy.extraAttempts.window = settings.extraWindow;
+    policy.fleetExtraAllowance = settings.extraAllowance * allowanceUsed;
     return policy;
 }
 
@@ -124,13 +128,11 @@
                         return take(std::move(request), std::move(answer));
                     })
         , m_fleetSize(m_settings.instance)
+        , m_delegation(m_settings.instance, m_settings.dataCentre, m_fleet, m_peers, m_peers,
+                       m_timer, m_log, m_policy, [this] { return m_fleetSize.estimate(); })
+        , m_gatherServer(m_gateway, m_timer, m_policy)
         , m_beacon(
-              m_context, m_timer,
-              [this] {
-                  return BeaconNews{m_settings.instance, m_settings.dataCentre,
-                                    m_fleetSize.heardOf(), m_peerPort,
-                                    !m_isStopping && isReader(m_settings)};
-              },
+              m_context, m_timer, [this] { return beaconNews(); },
               [this](const BeaconNews &news, const std::string &number) { onBeacon(news, number); })
         , m_pages(m_context)
         , m_metrics(m_context)
@@ -163,6 +165,7 @@
         if (!beacon)
             return std::nullopt;
         m_peers.setHandler(this);
+        m_gateway.setDelegation(&m_delegation);
         awaitSignal();
         m_follower.start();
         m_started = m_timer.now();
@@ -170,6 +173,7 @@
                                        [this](const TimerTick &) { applyFleetSize(); });
         m_expiry = m_timer.callEvery(expirePeriod, [this](const TimerTick &tick) {
             m_directory.expire(tick.fired);
+            electCoordinators();
             noteReadiness();
         });
         m_log.record(EventId::DaemonStarted, {},
@@ -205,8 +209,16 @@
     // PeerHandler
     void onPeerRequest(PeerRequest request, std::shared_ptr<PeerResponder> responder) override
     {
+        if (m_isStopping) {
+            responder->refuse();
+            return;
+        }
+        if (auto *gather = std::get_if<PeerGather>(&request)) {
+            m_gatherServer.serve(std::move(*gather), std::move(responder));
+            return;
+        }
         const auto *question = std::get_if<RegistryChangesRequest>(&request);
-        if (!question || m_isStopping) {
+        if (!question) {
             responder->refuse();
             return;
         }
@@ -214,18 +226,56 @@
                     [responder](RegistryChanges news) { responder->reply(std::move(news)); });
     }
 
+    [[nodiscard]] Instance describe(const InstanceId &instance, const DataCentreId &dataCentre,
+                                    const Address &peerAddress) const
+    {
+        Instance described;
+        described.id = instance;
+        described.dataCentre = dataCentre;
+        described.peerAddress = addressText(peerAddress);
+        return described;
+    }
+
+    BeaconNews beaconNews()
+    {
+        BeaconNews news;
+        news.instance = m_settings.instance;
+        news.dataCentre = m_settings.dataCentre;
+        news.heardOf = m_fleetSize.heardOf();
+        news.peerPort = m_peerPort;
+        news.isReader = !m_isStopping && isReader(m_settings);
+        news.strength = m_settings.processorShare;
+        news.isLeaving = m_isStopping;
+        if (news.isReader)
+            news.coordinators = m_members.coordinators(m_timer.now());
+        return news;
+    }
+
+    /// Seeds hear of all instances, and elect the coordinators for them.
+    void electCoordinators()
+    {
+        if (m_isStopping || !isReader(m_settings))
+            return;
+        const TimePoint now = m_timer.now();
+        m_members.onBeacon(describe(m_settings.instance, m_settings.dataCentre,
+                                    {m_settings.peerAddress.number, m_peerPort}),
+                           m_settings.processorShare, now);
+        m_delegation.onCoordinators(m_settings.instance, m_members.coordinators(now));
+    }
+
     void onBeacon(const BeaconNews &news, const std::string &number)
     {
+        Instance sender = describe(news.instance, news.dataCentre, {number, news.peerPort});
+        sender.isLeaving = news.isLeaving;
+        if (isReader(m_settings))
+            m_members.onBeacon(sender, news.strength, m_timer.now());
+        if (!news.coordinators.empty())
+            m_delegation.onCoordinators(news.instance, news.coordinators);
         const auto before = m_fleetSize.estimate();
         m_fleetSize.onBeacon(news.instance);
         m_fleetSize.addReportedCount(news.heardOf);
-        if (news.isReader) {
-            Instance reader;
-            reader.id = news.instance;
-            reader.dataCentre = news.dataCentre;
-            reader.peerAddress = addressText({number, news.peerPort});
-            m_sharedRegistry.onReaderBeacon(reader);
-        }
+        if (news.isReader)
+            m_sharedRegistry.onReaderBeacon(sender);
         const auto now = m_fleetSize.estimate();
         if (now == before || !now)
             return;
@@ -303,6 +353,14 @@
             {"caller_connections_total", "Connections accepted.", number(ingress.accepted)},
             {"caller_connections_evicted_total", "Connections closed for want of room.",
              number(ingress.evicted)},
+            {"gathers_delegated_total", "Gathered requests handed to a coordinator.",
+             number(counts.delegated)},
+            {"gathers_rerun_total", "Gathered requests handed on since a coordinator failed.",
+             number(counts.rerun)},
+            {"gathers_undelegated_total", "Gathered requests that no coordinator could take.",
+             number(counts.undelegated)},
+            {"gathers_coordinated_total", "Gathered requests executed for other instances.",
+             number(counts.coordinated)},
             {"log_lines_left_out_total", "Log lines left out to bound their volume.",
              number(m_log.droppedLineCount())},
         };
@@ -317,6 +375,10 @@
             {"server_connections", "Connections to servers.", number(m_fleet.connections())},
             {"caller_connections", "Connections of callers.", number(ingress.connections)},
             {"active_calls", "Requests under way.", number(m_gateway.activeCalls())},
+            {"coordinators", "Instances that coordinate gathered requests.",
+             number(m_delegation.coordinators())},
+            {"is_coordinator", "Whether this instance is one of them.",
+             m_delegation.isCoordinator() ? 1.0 : 0.0},
             {"instances", "Instances of the fleet that were heard of.",
              number(m_fleetSize.estimate().value_or(1))},
         };
@@ -364,6 +426,7 @@
                       {"connections", m_ingress.counts().connections},
                       {"activeCalls", m_gateway.activeCalls()}});
         m_ingress.beginStop();
+        m_beacon.announce();
         m_peers.beginStop();
         const Duration forcedEnd = m_settings.stopTime - stopMargin;
         m_stopDeadline = m_timer.now() + forcedEnd;
@@ -375,7 +438,8 @@
     {
         m_ingress.closeIdle();
         const bool isLate = m_timer.now() >= m_stopDeadline;
-        if (isLate || m_ingress.busyConnections() == 0) {
+        const bool isIdle = m_ingress.busyConnections() == 0 && m_gatherServer.active() == 0;
+        if (isLate || isIdle) {
             m_log.record(EventId::DaemonStopped, {},
                          {{"isForced", isLate},
                           {"activeCalls", m_gateway.activeCalls()},
@@ -407,6 +471,9 @@
     gateway::RegistryRelay m_share;
     CallerIngress m_ingress;
     gateway::FleetSize m_fleetSize;
+    gateway::FleetMembers m_members;
+    gateway::GatherDelegation m_delegation;
+    gateway::GatherServer m_gatherServer;
     FleetBeacon m_beacon;
     LatencyHistogram m_latencies;
     OperatorServer m_pages;
--- a/modules/gateway/include/oleander/gateway/Gateway.h
+++ b/modules/gateway/include/oleander/gateway/Gateway.h
@@ -28,6 +28,22 @@
 using GatherHeaderBuilder = std::function<std::vector<HttpField>(
     const std::vector<std::string> &receipts, std::size_t missing)>;
 
+/// A gathered request that another instance has handed to this one.
+struct CoordinatedRequest
+{
+    std::shared_ptr<const CallerRequest> request;
+    std::shared_ptr<const Route> route;
+    TimePoint deadline{};
+    /// Latest time to answer so that the route's objective is met.
+    TimePoint answerBy{};
+    /// True when another instance may have begun to execute the request.
+    bool isRerun = false;
+    /// Positions of the shards to be asked; empty for all.
+    std::vector<std::size_t> shards;
+    /// Parts of these shards that an answer needs while others are still awaited.
+    std::size_t minimumParts = 0;
+};
+
 /// Counters since process start.
 struct GatewayCounts
 {
@@ -36,8 +52,20 @@
     std::uint64_t refused = 0;
     std::uint64_t failed = 0;
     std::uint64_t disconnected = 0;
+    /// Gathered requests handed to a coordinator.
+    std::uint64_t delegated = 0;
+    /// Gathered requests handed to another coordinator, because the first may have failed.
+    std::uint64_t rerun = 0;
+    /// Gathered requests that no coordinator could take, executed here.
+    std::uint64_t undelegated = 0;
+    /// Gathered requests executed for other instances, for all shards or for some.
+    std::uint64_t coordinated = 0;
+    /// Groups of shards handed to coordinators in other data centres.
+    std::uint64_t delegatedGroups = 0;
 };
 
+class GatherDelegation;
+
 /// Accepts callers' requests and answers each exactly once.
 class Gateway
 {
@@ -52,11 +80,17 @@
     void configure(GatewayConfiguration configuration);
     [[nodiscard]] RouteTablePtr routes() const { return m_routes; }
 
+    /// Hands gathered requests to coordinators from now on. The delegation must outlive the calls.
+    void setDelegation(GatherDelegation *delegation) { m_delegation = delegation; }
+
     /// Handles a request. `answer` is called once, never synchronously from handle(), and not at
     /// all if the caller disconnects first.
     std::shared_ptr<Call> handle(std::shared_ptr<const CallerRequest> request,
                                  AnswerCallback answer);
 
+    /// Executes a gathered request for another instance.
+    std::shared_ptr<Call> coordinate(const CoordinatedRequest &coordinated, AnswerCallback answer);
+
     [[nodiscard]] std::size_t activeCalls() const { return m_activeCalls; }
     [[nodiscard]] const GatewayCounts &counts() const { return m_counts; }
 
@@ -64,6 +98,7 @@
     friend class CallBase;
     friend class GatherCall;
     friend class ForwardCall;
+    friend class DelegatedGatherCall;
     struct RouteState;
 
     RouteState &routeState(const RouteId &route);
@@ -74,6 +109,7 @@
     EventLog &m_log;
     const GatewayPolicy &m_policy;
     GatherHeaderBuilder m_buildGatherHeaders;
+    GatherDelegation *m_delegation = nullptr;
     RouteTablePtr m_routes;
     std::unordered_map<RouteId, std::unique_ptr<RouteState>> m_routeStates;
     std::size_t m_activeCalls = 0;
--- a/modules/gateway/include/oleander/gateway/GatewayPolicy.h
+++ b/modules/gateway/include/oleander/gateway/GatewayPolicy.h
@@ -48,6 +48,21 @@
     /// loses power.
     Duration onDemandIdleLimit = seconds(2);
     ExtraBudgetRules extraAttempts;
+    /// Extra attempts that all instances together may send to a service in any window, regardless
+    /// of the number of first attempts.
+    double fleetExtraAllowance = 0;
+    /// Time reserved for a reply of a coordinator on its way to the entry instance, until it has
+    /// been measured.
+    Duration coordinatorHop = milliseconds(4);
+    /// A coordinator that has not replied after this share of the route's objective is probed.
+    double coordinatorProbeShare = 0.25;
+    Duration minimumCoordinatorProbeDelay = milliseconds(20);
+    /// Time within which a coordinator responds to a probe. Longer than the pauses of a process
+    /// that has used up its share of a processor, since a request that is executed by two
+    /// coordinators may reach more servers than permitted.
+    Duration coordinatorResponseTime = milliseconds(250);
+    /// Maximum number of gathered requests that this instance coordinates for others at a time.
+    std::size_t coordinatedGathers = 128;
 };
 
 } // namespace oleander::gateway
--- a/modules/gateway/include/oleander/gateway/HttpMessage.h
+++ b/modules/gateway/include/oleander/gateway/HttpMessage.h
@@ -2,6 +2,7 @@
 
 #include <oleander/core/Ids.h>
 #include <oleander/core/Units.h>
+#include <oleander/ports/PeerMessage.h>
 
 #include <optional>
 #include <string>
@@ -41,6 +42,10 @@
     int status = 0;
     std::vector<HttpField> fields;
     std::string body;
+    /// Shards whose parts are not in a gathered answer.
+    std::size_t missingShards = 0;
+    /// The shards in an answer that another instance merges with others.
+    std::vector<ShardReceipt> receipts{};
 };
 
 /// Load reported by a server.
--- a/modules/gateway/include/oleander/gateway/ServerFleet.h
+++ b/modules/gateway/include/oleander/gateway/ServerFleet.h
@@ -6,6 +6,7 @@
 #include <oleander/ports/RandomSource.h>
 
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -21,10 +22,26 @@
     /// Servers to which this instance keeps connections. The others are used only when none of
     /// these is available.
     std::vector<BackendServer *> preferred;
+    /// Those of the preferred servers to which an idle connection is kept.
+    std::vector<BackendServer *> keptConnected;
+    /// True when requests for this service are parts of gathered requests.
+    bool isShard = false;
 
     [[nodiscard]] bool hasUsableServer() const;
 };
 
+/// How the instances share the connections and the extra attempts of shards.
+struct ShardSharing
+{
+    /// Number of instances that coordinate gathered requests. Without any, all instances share
+    /// equally.
+    int coordinators = 0;
+    /// True when this instance is one of them. The others keep no connections to shards.
+    bool isCoordinator = false;
+
+    bool operator==(const ShardSharing &) const = default;
+};
+
 /// All registered servers, grouped by service.
 ///
 /// If the fleet has more instances than a server accepts connections, each instance connects to
@@ -44,6 +61,18 @@
 
     /// Called when the number of instances in the policy changed.
     void onInstanceCountChanged();
+    /// Sets how shards are shared. Connections follow.
+    void setShardSharing(const ShardSharing &sharing);
+
+    // Shards
+    /// Data centres that have at least half as many servers of shards as the one with the most.
+    [[nodiscard]] std::vector<DataCentreId> shardDataCentres() const;
+    /// The lowest connection cap of a shard, or nothing if there are no shards.
+    [[nodiscard]] std::optional<int> shardConnectionCap() const;
+
+    /// Whether the pool has a server in the own data centre that can be expected to answer a part
+    /// in time: usable, neither slow nor failing.
+    [[nodiscard]] bool hasSoundLocalServer(const ServicePool &pool, Duration usualLatency) const;
 
     // Requests
     /// Returns the pool of a service. Pools are created on first use and never removed.
@@ -59,7 +88,7 @@
     /// Counts the first attempt of a request to the service.
     void noteFirstAttempt(ServicePool &pool)
     {
-        pool.extraBudget.noteFirstAttempt(m_policy.extraAttempts, m_context.timer.now());
+        pool.extraBudget.noteFirstAttempt(extraRules(pool), m_context.timer.now());
     }
 
 private:
@@ -69,6 +98,11 @@
     /// Reassigns connections. Must be called when the pool's servers, the connection cap or the
     /// number of instances changed.
     void assignPreferredServers(ServicePool &pool);
+    /// Whether this instance opens connections to the pool ahead and keeps idle ones.
+    [[nodiscard]] bool keepsConnections(const ServicePool &pool) const;
+    [[nodiscard]] ExtraBudgetRules extraRules(const ServicePool &pool) const;
+    /// Number of instances that share a server's connections; nothing if it is not known yet.
+    [[nodiscard]] std::optional<int> sharers(const ServicePool &pool) const;
     [[nodiscard]] int connectionLimit(const ServicePool &pool) const;
     [[nodiscard]] std::size_t preferredCount(const ServicePool &pool) const;
     [[nodiscard]] std::vector<ServerCandidate>
@@ -88,8 +122,13 @@
     std::vector<std::unique_ptr<BackendServer>> m_retired;
     /// Servers that wait for their first connection.
     std::vector<ServerId> m_warmUpQueue;
+    ShardSharing m_shardSharing;
     Subscription m_maintenanceTimer;
     Subscription m_warmUpTimer;
+    /// Ends the time after the first configuration in which shards get no connections ahead.
+    Subscription m_shardWarmUpTimer;
+    bool m_hasConfiguration = false;
+    bool m_isShardWarmUpDue = false;
 };
 
 } // namespace oleander::gateway
--- a/modules/gateway/include/oleander/gateway/ServiceCall.h
+++ b/modules/gateway/include/oleander/gateway/ServiceCall.h
@@ -19,6 +19,9 @@
     Idempotency idempotency = Idempotency::NonIdempotent;
     int priority = 0;
     int maximumAttempts = 1;
+    /// True when another instance may have sent the request already, so that the first attempt is
+    /// an extra one too.
+    bool isRerun = false;
     /// Deadline of the servers; no attempts are sent after it.
     TimePoint deadline{};
     /// Replies after this time miss the route's objective.
--- a/modules/gateway/src/CallBase.cpp
+++ b/modules/gateway/src/CallBase.cpp
@@ -29,14 +29,25 @@
 
 } // namespace
 
-CallBase::CallBase(Gateway &gateway, std::shared_ptr<const CallerRequest> request,
-                   RouteTablePtr routes, const Route &route, AnswerCallback answer)
+CallTerms callTerms(const CallerRequest &request, const RouteTablePtr &routes, const Route &route,
+                    const GatewayPolicy &policy)
+{
+    CallTerms terms;
+    terms.route = {routes, &route};
+    terms.configuration = routes->version();
+    terms.deadline = requestDeadline(request, route, policy);
+    terms.answerBy = request.arrived + route.objective - policy.answerMargin;
+    return terms;
+}
+
+CallBase::CallBase(Gateway &gateway, std::shared_ptr<const CallerRequest> request, CallTerms terms,
+                   AnswerCallback answer)
     : m_gateway(gateway)
     , m_request(std::move(request))
-    , m_routes(std::move(routes))
-    , m_route(route)
-    , m_latencies(gateway.routeState(route.id).latencies)
-    , m_deadline(requestDeadline(*m_request, route, gateway.m_policy))
+    , m_terms(std::move(terms))
+    , m_route(*m_terms.route)
+    , m_latencies(gateway.routeState(m_route.id).latencies)
+    , m_deadline(m_terms.deadline)
     , m_answer(std::move(answer))
 {
     ++m_gateway.m_activeCalls;
@@ -101,7 +112,7 @@
     ++m_gateway.m_counts.refused;
     record(EventId::QueryRefused, {{"cause", cause},
                                    {"route", m_route.id.text()},
-                                   {"configuration", m_routes->version().value()},
+                                   {"configuration", m_terms.configuration.value()},
                                    {"afterMs", inMilliseconds(age())}});
     answer({statusUnavailable,
             {{"Retry-After", formatSeconds(m_gateway.m_policy.retryAfter)}},
@@ -122,16 +133,11 @@
     record(EventId::QueryFailed, {{"cause", cause},
                                   {"status", status},
                                   {"route", m_route.id.text()},
-                                  {"configuration", m_routes->version().value()},
+                                  {"configuration", m_terms.configuration.value()},
                                   {"afterMs", inMilliseconds(age())}});
     answer({status, {}, std::string(cause) + "\n"});
 }
 
-TimePoint CallBase::answerBy() const
-{
-    return m_request->arrived + m_route.objective - m_gateway.m_policy.answerMargin;
-}
-
 ServiceCallPlan CallBase::planFor(const ServiceId &service, TimePoint retryUntil) const
 {
     const GatewayPolicy &policy = m_gateway.m_policy;
@@ -143,7 +149,8 @@
     plan.pool = &m_gateway.m_fleet.pool(service);
     plan.idempotency = m_route.idempotency;
     plan.priority = m_route.priority;
-    plan.maximumAttempts = m_route.maximumAttempts;
+    plan.maximumAttempts = m_terms.isRerun ? 1 : m_route.maximumAttempts;
+    plan.isRerun = m_terms.isRerun;
     plan.deadline = m_deadline;
     plan.answerBy = answerBy();
     plan.retryUntil = retryUntil;
--- a/modules/gateway/src/ForwardCall.cpp
+++ b/modules/gateway/src/ForwardCall.cpp
@@ -78,7 +78,7 @@
     record(EventId::QueryAnswered, {{"status", reply.status},
                                     {"route", m_route.id.text()},
                                     {"attempts", m_call->attempts()},
-                                    {"configuration", m_routes->version().value()},
+                                    {"configuration", terms().configuration.value()},
                                     {"afterMs", inMilliseconds(age())}});
     answer({reply.status, std::move(reply.fields), std::move(reply.body)});
 }
--- a/modules/gateway/src/Gateway.cpp
+++ b/modules/gateway/src/Gateway.cpp
@@ -63,17 +63,35 @@
         });
         return nullptr;
     }
+    CallTerms terms = callTerms(*request, m_routes, *route, m_policy);
     std::shared_ptr<CallBase> call;
-    if (route->isGathered())
-        call = std::make_shared<GatherCall>(*this, std::move(request), m_routes, *route,
+    if (route->isGathered() && m_delegation && m_delegation->isActiveFor(*route))
+        call = std::make_shared<DelegatedGatherCall>(*this, *m_delegation, std::move(request),
+                                                     std::move(terms), std::move(answer));
+    else if (route->isGathered())
+        call = std::make_shared<GatherCall>(*this, std::move(request), std::move(terms),
                                             std::move(answer));
     else
-        call = std::make_shared<ForwardCall>(*this, std::move(request), m_routes, *route,
+        call = std::make_shared<ForwardCall>(*this, std::move(request), std::move(terms),
                                              std::move(answer));
     call->start();
     return call;
 }
 
+std::shared_ptr<Call> Gateway::coordinate(const CoordinatedRequest &coordinated,
+                                          AnswerCallback answer)
+{
+    ++m_counts.coordinated;
+    const SectionVersion version = m_routes ? m_routes->version() : SectionVersion();
+    const auto call = std::make_shared<GatherCall>(
+        *this, coordinated.request,
+        CallTerms{coordinated.route, version, coordinated.deadline, coordinated.answerBy,
+                  coordinated.isRerun, coordinated.shards, coordinated.minimumParts},
+        std::move(answer));
+    call->start();
+    return call;
+}
+
 Gateway::RouteState &Gateway::routeState(const RouteId &route)
 {
     auto &state = m_routeStates[route];
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace oleander::gateway {
@@ -22,6 +23,17 @@
 constexpr int assumedInstances = 24;
 /// Number of servers of each service that get connections until then; the second is a backup.
 constexpr std::size_t initialPreferredCount = 2;
+/// Time after the first configuration in which this instance learns whether coordinators hold the
+/// connections to shards. Until then it opens them on demand only.
+constexpr Duration shardWarmUpDelay = milliseconds(600);
+/// Limits within which a server is sound: relative slowness, share of failed requests, and age of
+/// the oldest request without a reply in typical latencies.
+constexpr double soundSlowness = 2.5;
+constexpr double soundFailureRate = 0.3;
+constexpr int stalledLatencies = 3;
+/// Share of a shard's connections and extra attempts for the coordinators. The others need the rest
+/// while no coordinator can be reached.
+constexpr double coordinatorShare = 0.85;
 
 } // namespace
 
@@ -53,6 +65,7 @@
         ServicePool &oldPool = pool(found->second->registration().service);
         std::erase(oldPool.servers, found->second.get());
         std::erase(oldPool.preferred, found->second.get());
+        std::erase(oldPool.keptConnected, found->second.get());
         assignPreferredServers(oldPool);
         m_context.log.record(EventId::ServerGone, {},
                              {{"server", server.text()}, {"service", oldPool.id.text()}});
@@ -86,6 +99,17 @@
 
 void ServerFleet::onConfiguration(const GatewayConfiguration &configuration)
 {
+    if (!m_hasConfiguration) {
+        m_hasConfiguration = true;
+        m_shardWarmUpTimer = m_context.timer.callAfter(shardWarmUpDelay, [this](const TimerTick &) {
+            m_isShardWarmUpDue = true;
+            onInstanceCountChanged();
+        });
+    }
+    for (const Route &route : configuration.routes) {
+        for (const ServiceId &shard : route.shards)
+            pool(shard).isShard = true;
+    }
     for (const ServiceDeclaration &service : configuration.services) {
         ServicePool &newPool = pool(service.id);
         newPool.connectionCap = service.connectionCap;
@@ -99,6 +123,61 @@
         assignPreferredServers(*pool);
 }
 
+void ServerFleet::setShardSharing(const ShardSharing &sharing)
+{
+    if (sharing == m_shardSharing)
+        return;
+    m_shardSharing = sharing;
+    for (const auto &[id, pool] : m_pools) {
+        if (pool->isShard)
+            assignPreferredServers(*pool);
+    }
+}
+
+std::vector<DataCentreId> ServerFleet::shardDataCentres() const
+{
+    std::map<DataCentreId, std::size_t> servers;
+    for (const auto &[id, pool] : m_pools) {
+        if (!pool->isShard || pool->connectionCap <= 0)
+            continue;
+        for (const BackendServer *server : pool->servers)
+            ++servers[server->registration().dataCentre];
+    }
+    std::size_t most = 0;
+    for (const auto &[dataCentre, count] : servers)
+        most = std::max(most, count);
+    std::vector<DataCentreId> result;
+    for (const auto &[dataCentre, count] : servers) {
+        if (2 * count >= most)
+            result.push_back(dataCentre);
+    }
+    return result;
+}
+
+std::optional<int> ServerFleet::shardConnectionCap() const
+{
+    std::optional<int> lowest;
+    for (const auto &[id, pool] : m_pools) {
+        if (pool->isShard && pool->connectionCap > 0)
+            lowest = std::min(lowest.value_or(pool->connectionCap), pool->connectionCap);
+    }
+    return lowest;
+}
+
+bool ServerFleet::hasSoundLocalServer(const ServicePool &pool, Duration usualLatency) const
+{
+    const TimePoint now = m_context.timer.now();
+    return std::ranges::any_of(pool.servers, [&](const BackendServer *server) {
+        if (server->registration().dataCentre != m_dataCentre || !server->isUsable()
+            || server->isEjected())
+            return false;
+        const auto oldest = server->oldestSendTime();
+        const bool isStalled = oldest && now - *oldest > stalledLatencies * usualLatency;
+        return !isStalled && decayedSlowness(server->score(), now) < soundSlowness
+               && server->score().failureRate < soundFailureRate;
+    });
+}
+
 void ServerFleet::assignPreferredServers(ServicePool &pool)
 {
     // Services that are not in the configuration get no connections.
@@ -112,23 +191,35 @@
         order.emplace_back(localFirstRank(hash, registration.dataCentre == m_dataCentre), server);
     }
     std::ranges::sort(order);
-    const auto previous = std::exchange(pool.preferred, {});
+    const auto previouslyKept = std::exchange(pool.keptConnected, {});
+    pool.preferred.clear();
     const std::size_t preferred = preferredCount(pool);
     const bool isScarce = preferred < order.size();
+    const bool keepsAny = keepsConnections(pool);
     for (const auto &[rank, server] : order) {
         // When connections are scarce, an idle one is kept only to the first server, because after
         // a power loss servers still hold the connections that were opened before it.
-        const bool keepsIdle = !isScarce || server == order.front().second;
+        const bool keepsIdle = keepsAny && (!isScarce || server == order.front().second);
         server->setConnectionLimits(connectionLimit(pool),
                                     keepsIdle ? m_policy.idleLimit : m_policy.onDemandIdleLimit);
         if (pool.preferred.size() == preferred)
             continue;
         pool.preferred.push_back(server);
-        if (keepsIdle && std::ranges::find(previous, server) == previous.end())
+        if (!keepsIdle)
+            continue;
+        pool.keptConnected.push_back(server);
+        if (std::ranges::find(previouslyKept, server) == previouslyKept.end())
             queueWarmUp(server->registration().id);
     }
 }
 
+bool ServerFleet::keepsConnections(const ServicePool &pool) const
+{
+    if (!pool.isShard || m_shardSharing.isCoordinator)
+        return true;
+    return m_shardSharing.coordinators == 0 && (m_policy.instances || m_isShardWarmUpDue);
+}
+
 ServicePool &ServerFleet::pool(const ServiceId &service)
 {
     auto &held = m_pools[service];
@@ -186,7 +277,30 @@
 
 bool ServerFleet::takeExtra(ServicePool &pool, ExtraAttemptKind kind)
 {
-    return pool.extraBudget.takeExtra(m_policy.extraAttempts, kind, m_context.timer.now());
+    return pool.extraBudget.takeExtra(extraRules(pool), kind, m_context.timer.now());
+}
+
+ExtraBudgetRules ServerFleet::extraRules(const ServicePool &pool) const
+{
+    ExtraBudgetRules rules = m_policy.extraAttempts;
+    if (!pool.isShard || m_shardSharing.coordinators == 0)
+        return rules;
+    if (m_shardSharing.isCoordinator) {
+        rules.allowance =
+            coordinatorShare * m_policy.fleetExtraAllowance / m_shardSharing.coordinators;
+        rules.randomAllowance = 0;
+    } else {
+        rules.allowance *= 1 - coordinatorShare;
+        rules.randomAllowance *= 1 - coordinatorShare;
+    }
+    return rules;
+}
+
+std::optional<int> ServerFleet::sharers(const ServicePool &pool) const
+{
+    if (!pool.isShard || !m_shardSharing.isCoordinator)
+        return m_policy.instances;
+    return static_cast<int>(m_shardSharing.coordinators / coordinatorShare) + 1;
 }
 
 void ServerFleet::maintainConnections()
@@ -215,7 +329,10 @@
         const ServerId next = m_warmUpQueue.back();
         m_warmUpQueue.pop_back();
         const auto found = m_servers.find(next);
-        if (found != m_servers.end())
+        if (found == m_servers.end())
+            continue;
+        const auto &kept = pool(found->second->registration().service).keptConnected;
+        if (std::ranges::find(kept, found->second.get()) != kept.end())
             found->second->warmUp();
     }
     if (m_warmUpQueue.empty())
@@ -224,18 +341,19 @@
 
 int ServerFleet::connectionLimit(const ServicePool &pool) const
 {
-    const int instances = std::max(1, m_policy.instances.value_or(assumedInstances));
+    const int instances = std::max(1, sharers(pool).value_or(assumedInstances));
     return std::clamp(pool.connectionCap / instances, 1, m_policy.connectionsPerServer);
 }
 
 std::size_t ServerFleet::preferredCount(const ServicePool &pool) const
 {
     const std::size_t servers = pool.servers.size();
-    if (!m_policy.instances)
+    const std::optional<int> instances = sharers(pool);
+    if (!instances)
         return std::min(servers, initialPreferredCount);
     // The connections that all servers accept, divided among all instances.
     const std::size_t share = servers * static_cast<std::size_t>(pool.connectionCap)
-                              / static_cast<std::size_t>(std::max(1, *m_policy.instances));
+                              / static_cast<std::size_t>(std::max(1, *instances));
     return std::min(servers, std::max<std::size_t>(1, share));
 }
 
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -98,7 +98,7 @@
         m_fleet.choose(*m_plan.pool, excludedServers(mayReuseTried), m_plan.usualLatency);
     if (!server)
         return false;
-    const bool isExtra = m_wasSent || !m_running.empty();
+    const bool isExtra = m_plan.isRerun || m_wasSent || !m_running.empty();
     const ExtraAttemptKind kind =
         m_running.empty() ? ExtraAttemptKind::Retry : ExtraAttemptKind::Hedge;
     if (kind == ExtraAttemptKind::Hedge && !isWorthHedging(*server))
@@ -143,7 +143,7 @@
         call->m_running.erase(found);
         call->onAttemptFinished(*ended, server, std::move(result));
     };
-    if (m_sentCount++ == 0)
+    if (m_sentCount++ == 0 && !m_plan.isRerun)
         m_fleet.noteFirstAttempt(*m_plan.pool);
     m_triedServers.push_back(&server);
     m_running.push_back(attempt);
--- a/modules/ports/include/oleander/ports/PeerMessage.h
+++ b/modules/ports/include/oleander/ports/PeerMessage.h
@@ -112,7 +112,99 @@
     bool operator==(const RegistryChanges &) const = default;
 };
 
-using PeerRequest = std::variant<PeerQuery, ViewExchange, RegistryChangesRequest>;
-using PeerReply = std::variant<PeerAnswer, ViewExchange, RegistryChanges>;
+/// One header field of a request or answer that instances pass on unchanged.
+struct PeerField
+{
+    std::string name;
+    std::string value;
+
+    bool operator==(const PeerField &) const = default;
+};
+
+/// The rules by which a coordinator gathers the parts of an answer. They are sent whole rather than
+/// by configuration version, so that an instance never answers by another version than its own.
+struct GatherRules
+{
+    /// Name of the route, for statistics and logs.
+    std::string route;
+    std::vector<ServiceId> shards;
+    std::uint64_t recordLimit = 0;
+    /// Share of the shards, from 0 to 1, that an answer requires.
+    double minimumShare = 1;
+    /// Servers that may execute the request, counted for each shard.
+    int maximumAttempts = 1;
+    int priority = 0;
+    Duration objective{};
+
+    bool operator==(const GatherRules &) const = default;
+};
+
+/// A caller's request for parts of all shards, which the entry instance hands to a coordinator. All
+/// gathered requests are idempotent.
+struct PeerGather
+{
+    InstanceId from;
+    RequestId request;
+    std::string method;
+    std::string target;
+    std::string host;
+    std::vector<PeerField> fields;
+    std::string body;
+    /// Hash of the rules, by which the coordinator finds those that it has been sent before.
+    std::uint64_t rulesDigest = 0;
+    /// Only sent when the coordinator has answered that it does not know the rules.
+    std::optional<GatherRules> rules;
+    /// Positions in the rules of the shards to be asked, ascending; empty for all shards. A reply
+    /// for some shards contains whatever parts are in at the end, and their receipts.
+    std::vector<std::uint32_t> shards;
+    /// Parts of these shards that a reply needs while others are still awaited.
+    std::uint32_t minimumParts = 0;
+    /// Time until the caller's deadline.
+    Duration timeLeft{};
+    /// Time until the coordinator has to reply for the answer to meet the route's objective;
+    /// negative when that has passed.
+    Duration replyWithin{};
+    /// True when another coordinator may have begun to execute the request: every attempt is then
+    /// an extra one, and each shard is asked once at most.
+    bool isRerun = false;
+
+    bool operator==(const PeerGather &) const = default;
+};
+
+/// Proof of one shard's part in a merged reply.
+struct ShardReceipt
+{
+    /// Position of the shard in the rules.
+    std::uint32_t shard = 0;
+    std::string receipt;
+
+    bool operator==(const ShardReceipt &) const = default;
+};
+
+/// The coordinator's reply to a PeerGather.
+struct PeerGatherReply
+{
+    /// The rules are not known. Nothing was executed, and the call is to be repeated with them.
+    bool needsRules = false;
+    /// The coordinator has too much to do. Nothing was executed.
+    bool isBusy = false;
+    /// Answer to the caller. Status 503 states that no shard has executed the request.
+    int status = 0;
+    std::vector<PeerField> fields;
+    /// The merged records.
+    std::string body;
+    /// The shards in the body, if only some were to be asked.
+    std::vector<ShardReceipt> receipts;
+    std::uint64_t missingShards = 0;
+    /// Time from the arrival of the call to the reply.
+    Duration elapsed{};
+    /// Gathered requests in progress at the coordinator.
+    std::uint64_t activeGathers = 0;
+
+    bool operator==(const PeerGatherReply &) const = default;
+};
+
+using PeerRequest = std::variant<PeerQuery, ViewExchange, RegistryChangesRequest, PeerGather>;
+using PeerReply = std::variant<PeerAnswer, ViewExchange, RegistryChanges, PeerGatherReply>;
 
 } // namespace oleander
--- a/modules/ports/include/oleander/ports/PeerNetwork.h
+++ b/modules/ports/include/oleander/ports/PeerNetwork.h
@@ -69,4 +69,17 @@
     virtual void beginStop() = 0;
 };
 
+/// Tells a peer that is slow to reply from one that does not respond at all.
+class PeerProber
+{
+public:
+    virtual ~PeerProber() = default;
+
+    /// Asks the peer for a sign of life on the session for its calls, which is opened if there is
+    /// none. The callback is called once, after `timeout`, with whether anything was received from
+    /// the peer since. A session that does not answer the probe later either is closed.
+    virtual void probe(const Instance &peer, Duration timeout,
+                       std::function<void(bool isResponsive)> callback) = 0;
+};
+
 } // namespace oleander
--- a/modules/settings/include/oleander/settings/GatewaySettings.h
+++ b/modules/settings/include/oleander/settings/GatewaySettings.h
@@ -35,6 +35,9 @@
     Duration heartbeat = seconds(1);
     /// Descriptors that the process may have open.
     int descriptors = 1024;
+    /// Share of a processor that the process may use, in cores. Instances with a large share
+    /// coordinate gathered requests for the others.
+    double processorShare = 1;
     /// Extra sendings that all instances together may make of each service, as a share of its
     /// requests and in number, in a window.
     double extraShare = 0.2;
@@ -46,8 +49,8 @@
 
 /// Reads a gateway's settings file, JSON. Keys: `instance`, `dataCentre`, `callerAddress`,
 /// `readinessAddress`, `metricsAddress`, `registryAddress`, `peerAddress`, `fleetKey`, `seeds`,
-/// `stopSeconds`, `heartbeatMs`, `descriptors`, `extraLoad` with `share`, `allowance` and
-/// `windowSeconds`. All are required. Every fault is reported with its path.
+/// `stopSeconds`, `heartbeatMs`, `descriptors`, `processorShare`, `extraLoad` with `share`,
+/// `allowance` and `windowSeconds`. All are required. Every fault is reported with its path.
 std::optional<GatewaySettings> readGatewaySettings(std::string_view text, Findings &findings);
 
 /// The same, with the first fault.
--- a/modules/settings/src/GatewaySettings.cpp
+++ b/modules/settings/src/GatewaySettings.cpp
@@ -18,6 +18,8 @@
 constexpr double longestStop = 3600;
 constexpr double longestWindow = 3600;
 constexpr double largestShare = 1;
+constexpr double smallestProcessorShare = 0.001;
+constexpr double largestProcessorShare = 4096;
 constexpr double largestAllowance = 1e9;
 
 Address readAddress(ObjectReader &reader, std::string_view key)
@@ -86,6 +88,10 @@
         milliseconds(reader.integer("heartbeatMs", heartbeatRange, Presence::Required).value_or(0));
     settings.descriptors = static_cast<int>(
         reader.integer("descriptors", descriptorRange, Presence::Required).value_or(0));
+    settings.processorShare = reader
+                                  .number("processorShare", smallestProcessorShare,
+                                          largestProcessorShare, Presence::Required)
+                                  .value_or(0);
     if (const json *extraLoad = reader.object("extraLoad", Presence::Required))
         readExtraLoad(*extraLoad, reader.pathOf("extraLoad"), settings, findings);
     reader.finish();
--- a/modules/settings/tests/GatewaySettingsTest.cpp
+++ b/modules/settings/tests/GatewaySettingsTest.cpp
@@ -22,6 +22,7 @@
             {"stopSeconds", 6},
             {"heartbeatMs", 1200},
             {"descriptors", 2870},
+            {"processorShare", 0.17},
             {"extraLoad", {{"share", 0.2}, {"allowance", 129}, {"windowSeconds", 10}}}};
 }
 
