Bytes without end are bounded; an absurd Content-Length no longer ends the process

Cause: found by the new tests.

Change: GrowingStringBody reserves nothing ahead (replies, callers, registry, product's interface); at most 16 skipped replies a request; unfinished replies of all connections hold 24 MiB together, beyond which the connection that wants more is closed.

Ruled out: endless header, header line, chunk extension and trailers are bounded by the parser's limits already.

--- a/modules/adapters/include/oleander/adapters/gateway/AsioServerLinks.h
+++ b/modules/adapters/include/oleander/adapters/gateway/AsioServerLinks.h
@@ -3,6 +3,9 @@
 #include <oleander/adapters/gateway/HeaderNames.h>
 #include <oleander/gateway/ServerLink.h>
 
+#include <cstddef>
+#include <memory>
+
 namespace boost::asio {
 class io_context;
 }
@@ -12,7 +15,10 @@
 /// HTTP/1.1 connections to backend servers, over Asio and Beast, on the context's thread.
 ///
 /// A reply counts only when it is complete and carries the id of the request that it answers. An
-/// extra reply to an earlier request is skipped; bytes that are no reply end the connection.
+/// extra reply to an earlier request is skipped; bytes that are no reply end the connection. So do
+/// heads and bodies beyond a limit, more than a few skipped replies, and any bytes that would make
+/// unfinished replies of all connections hold more than maximumHeldBytes: a server in trouble may
+/// send without end.
 class AsioServerLinks final : public gateway::ServerLinkFactory
 {
 public:
@@ -22,9 +28,16 @@
     std::unique_ptr<gateway::ServerLink> open(const Address &address,
                                               gateway::ServerLinkListener &listener) override;
 
+    /// Bytes of unfinished replies in memory, over all connections.
+    [[nodiscard]] std::size_t heldBytes() const { return *m_heldBytes; }
+
+    static constexpr std::size_t maximumHeldBytes = std::size_t{24} * 1024 * 1024;
+
 private:
     boost::asio::io_context &m_context;
     HeaderNames m_names;
+    /// Shared with connections, which may outlive the factory until their last callback.
+    std::shared_ptr<std::size_t> m_heldBytes = std::make_shared<std::size_t>(0);
 };
 
 } // namespace oleander
--- a/modules/adapters/src/callers/HttpSession.h
+++ b/modules/adapters/src/callers/HttpSession.h
@@ -2,6 +2,7 @@
 
 #include "callers/BeastHeaders.h"
 #include "callers/HttpHandler.h"
+#include "concurrency/GrowingStringBody.h"
 
 #include <oleander/adapters/callers/HttpLimits.h>
 
@@ -47,7 +48,7 @@
 private:
     class Exchange;
     enum class State { Idle, Reading, Handling, Writing, Lingering, Closed };
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::request_parser<GrowingStringBody>;
     using Response = boost::beast::http::response<boost::beast::http::string_body>;
     using ErrorCode = boost::beast::error_code;
 
--- /dev/null
+++ b/modules/adapters/src/concurrency/GrowingStringBody.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "concurrency/AsioHeaders.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/optional.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace oleander {
+
+/// Body of a message whose sender is not trusted. Unlike Beast's string_body, it does not reserve
+/// memory for the stated length ahead, which would end the process when the length is absurd.
+struct GrowingStringBody
+{
+    using value_type = std::string;
+
+    static std::uint64_t size(const value_type &body) { return body.size(); }
+
+    class reader
+    {
+    public:
+        template <bool isRequest, typename Fields>
+        reader(boost::beast::http::header<isRequest, Fields> &, value_type &body)
+            : m_body(body)
+        {
+        }
+        void init(const boost::optional<std::uint64_t> &, boost::system::error_code &error)
+        {
+            error = {};
+        }
+        template <typename Buffers>
+        std::size_t put(const Buffers &buffers, boost::system::error_code &error)
+        {
+            error = {};
+            const std::size_t before = m_body.size();
+            for (auto part = boost::asio::buffer_sequence_begin(buffers);
+                 part != boost::asio::buffer_sequence_end(buffers); ++part) {
+                const boost::asio::const_buffer bytes = *part;
+                m_body.append(static_cast<const char *>(bytes.data()), bytes.size());
+            }
+            return m_body.size() - before;
+        }
+        void finish(boost::system::error_code &error) { error = {}; }
+
+    private:
+        value_type &m_body;
+    };
+
+    using writer = boost::beast::http::string_body::writer;
+};
+
+} // namespace oleander
--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -1,4 +1,5 @@
 #include "concurrency/AsioHeaders.h"
+#include "concurrency/GrowingStringBody.h"
 #include "gateway/HttpHeaders.h"
 
 #include <oleander/adapters/gateway/AsioServerLinks.h>
@@ -6,7 +7,6 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <array>
 #include <charconv>
@@ -31,6 +31,8 @@
 /// Sent bytes that are not acknowledged for this long end the connection.
 constexpr int unacknowledgedLimitMs = 3000;
 constexpr int firstFinalStatus = 200;
+/// Interim replies and replies to earlier requests that are skipped before the one that is awaited.
+constexpr int maximumSkippedReplies = 16;
 
 std::optional<gateway::ReportedLoad> parseLoad(std::string_view text)
 {
@@ -72,12 +74,16 @@
 {
 public:
     Connection(asio::io_context &context, const HeaderNames &names,
-               gateway::ServerLinkListener &listener)
+               gateway::ServerLinkListener &listener, std::shared_ptr<std::size_t> heldBytes)
         : m_socket(context)
         , m_names(names)
         , m_listener(&listener)
+        , m_heldByAll(std::move(heldBytes))
     {
     }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+    ~Connection() { releaseHeld(); }
 
     void open(const Address &address)
     {
@@ -103,6 +109,7 @@
         m_request = request.request;
         m_isHead = m_request->method == "HEAD";
         m_parser.reset();
+        m_skippedReplies = 0;
         m_out = head(request);
         m_out += m_request->body;
         m_isWriting = true;
@@ -120,6 +127,7 @@
     void abandon()
     {
         m_listener = nullptr;
+        releaseHeld();
         error_code ignored;
         m_socket.close(ignored);
     }
@@ -127,7 +135,7 @@
     [[nodiscard]] std::optional<Duration> keepAlive() const { return m_keepAlive; }
 
 private:
-    using Parser = http::response_parser<http::string_body>;
+    using Parser = http::response_parser<GrowingStringBody>;
 
     void onConnected(const error_code &error)
     {
@@ -165,10 +173,26 @@
             close(true);
             return;
         }
+        if (!hold(count)) {
+            close(true);
+            return;
+        }
         if (parse() && m_listener)
             read();
     }
 
+    /// Counts the bytes of an unfinished reply. False if there is no room for them.
+    bool hold(std::size_t count)
+    {
+        if (*m_heldByAll + count > AsioServerLinks::maximumHeldBytes)
+            return false;
+        m_held += count;
+        *m_heldByAll += count;
+        return true;
+    }
+
+    void releaseHeld() { *m_heldByAll -= std::exchange(m_held, 0); }
+
     void onEnd(const error_code &error)
     {
         if (error == asio::error::eof && m_request && m_parser && m_parser->is_header_done()
@@ -214,15 +238,16 @@
     /// A whole reply is there. False when the connection is not to be read any more.
     bool onMessage()
     {
-        http::response<http::string_body> message = m_parser->release();
+        http::response<GrowingStringBody> message = m_parser->release();
         m_parser.reset();
+        releaseHeld();
         if (message.result_int() < firstFinalStatus)
-            return true;
+            return skipReply();
         const auto echoed = message.find(m_names.requestId);
         if (echoed != message.end() && viewOf(echoed->value()) != m_request->id.text()) {
             // An extra reply to an earlier request; the right one may follow.
             m_isBroken = true;
-            return true;
+            return skipReply();
         }
         const bool isReusable = message.keep_alive() && !message.need_eof() && m_in.size() == 0
                                 && !m_isWriting && !m_isBroken;
@@ -237,7 +262,16 @@
         return isReusable;
     }
 
-    [[nodiscard]] ServerReply decode(http::response<http::string_body> message) const
+    /// False when too many replies were skipped, and the connection is closed.
+    bool skipReply()
+    {
+        if (++m_skippedReplies <= maximumSkippedReplies)
+            return true;
+        close(true);
+        return false;
+    }
+
+    [[nodiscard]] ServerReply decode(http::response<GrowingStringBody> message) const
     {
         ServerReply reply;
         reply.status = static_cast<int>(message.result_int());
@@ -290,6 +324,10 @@
     /// Something was seen after which the connection must not be used again.
     bool m_isBroken = false;
     bool m_isHead = false;
+    int m_skippedReplies = 0;
+    /// Bytes of the unfinished reply, and those of all connections.
+    std::size_t m_held = 0;
+    std::shared_ptr<std::size_t> m_heldByAll;
     std::string m_out;
     beast::flat_buffer m_in;
     std::shared_ptr<const gateway::CallerRequest> m_request;
@@ -330,7 +368,7 @@
 std::unique_ptr<gateway::ServerLink> AsioServerLinks::open(const Address &address,
                                                            gateway::ServerLinkListener &listener)
 {
-    auto connection = std::make_shared<Connection>(m_context, m_names, listener);
+    auto connection = std::make_shared<Connection>(m_context, m_names, listener, m_heldBytes);
     connection->open(address);
     return std::make_unique<Link>(std::move(connection));
 }
--- a/modules/adapters/src/gateway/HttpGetter.cpp
+++ b/modules/adapters/src/gateway/HttpGetter.cpp
@@ -1,4 +1,5 @@
 #include "concurrency/AsioHeaders.h"
+#include "concurrency/GrowingStringBody.h"
 
 #include <oleander/adapters/gateway/HttpGetter.h>
 
@@ -6,7 +7,6 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <utility>
@@ -158,7 +158,7 @@
     bool m_isReused = false;
     http::request<http::empty_body> m_request;
     beast::flat_buffer m_in;
-    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::optional<http::response_parser<GrowingStringBody>> m_parser;
     Callback m_done;
     Subscription m_timeout;
 };
--- a/modules/adapters/src/gateway/IngressSession.h
+++ b/modules/adapters/src/gateway/IngressSession.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "concurrency/AsioHeaders.h"
+#include "concurrency/GrowingStringBody.h"
 
 #include <oleander/adapters/gateway/CallerIngress.h>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <memory>
 #include <optional>
@@ -49,7 +49,7 @@
 
 private:
     enum class Phase { Idle, Receiving, Answering, Closed };
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::request_parser<GrowingStringBody>;
 
     void read();
     void onRead(const boost::system::error_code &error, std::size_t count);
--- a/modules/adapters/src/platform/PlatformCall.h
+++ b/modules/adapters/src/platform/PlatformCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../servers/Asio.h"
+#include "concurrency/GrowingStringBody.h"
 
 #include <oleander/adapters/platform/AsioPlatformReader.h>
 
@@ -52,7 +53,7 @@
     std::size_t m_address = 0;
     http::request<http::empty_body> m_request;
     beast::flat_buffer m_buffer;
-    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::optional<http::response_parser<GrowingStringBody>> m_parser;
 };
 
 } // namespace oleander
--- /dev/null
+++ b/modules/adapters/tests/gateway/CallerIngressTest.cpp
@@ -0,0 +1,93 @@
+#include <oleander/adapters/gateway/CallerIngress.h>
+#include <oleander/adapters/time/AsioTimerService.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <array>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+using namespace oleander;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+/// Sends bytes of a caller and returns what comes back until the gateway closes the connection.
+std::string responseTo(const std::string &sent)
+{
+    asio::io_context context;
+    AsioTimerService timer(context);
+    HeaderNames names;
+    names.requestId = "Request-Id";
+    names.callerTimeout = "Timeout";
+    names.expectedServer = "Expected";
+    CallerIngress ingress(
+        context, timer, names,
+        [](const std::shared_ptr<const gateway::CallerRequest> &, const gateway::AnswerCallback &) {
+            return std::shared_ptr<gateway::Call>();
+        });
+    Reason reason;
+    const auto port = ingress.listen({"127.0.0.1", 0}, reason);
+    if (!port)
+        return reason.text;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), *port});
+    std::string received;
+    std::array<char, 4096> buffer{};
+    bool isClosed = false;
+    asio::async_write(socket, asio::buffer(sent), [](const auto &, std::size_t) {});
+    const std::function<void()> read = [&] {
+        socket.async_read_some(asio::buffer(buffer),
+                               [&](const boost::system::error_code &error, std::size_t count) {
+                                   received.append(buffer.data(), count);
+                                   isClosed = !!error;
+                                   if (!error)
+                                       read();
+                               });
+    };
+    read();
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!isClosed && std::chrono::steady_clock::now() < until)
+        context.run_one_for(std::chrono::milliseconds(100));
+    return received;
+}
+
+TEST(CallerIngress, AbsurdContentLengthIsRefused)
+{
+    const std::string received =
+        responseTo("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000000\r\n\r\n");
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 413 ")) << received;
+}
+
+TEST(CallerIngress, HeaderWithoutEndIsRefused)
+{
+    const std::string received =
+        responseTo("GET /x HTTP/1.1\r\nHost: h\r\nX: " + std::string(std::size_t{1} << 20, 'x'));
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 431 ")) << received;
+}
+
+TEST(CallerIngress, BodyWithoutEndIsRefused)
+{
+    std::string sent = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int count = 0; count < 400'000; ++count)
+        sent += "1\r\nx\r\n";
+    const std::string received = responseTo(sent);
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 413 ")) << received;
+}
+
+TEST(CallerIngress, ChunkExtensionWithoutEndIsRefused)
+{
+    const std::string received =
+        responseTo("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;a="
+                   + std::string(std::size_t{1} << 20, 'x'));
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 4")) << received;
+}
+
+} // namespace
--- /dev/null
+++ b/modules/adapters/tests/gateway/ServerLinksTest.cpp
@@ -0,0 +1,203 @@
+#include <oleander/adapters/gateway/AsioServerLinks.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace oleander;
+using boost::system::error_code;
+using tcp = boost::asio::ip::tcp;
+namespace asio = boost::asio;
+
+// A server in trouble may send bytes that are no reply without end. The connection must be closed
+// after a bounded number of bytes, whatever they are part of.
+
+namespace {
+
+HeaderNames headerNames()
+{
+    HeaderNames names;
+    names.requestId = "Request-Id";
+    names.receipt = "Receipt";
+    names.notExecuted = "Not-Executed";
+    return names;
+}
+
+/// Sends `opening`, then `repeated` until the connection is closed.
+class EndlessServer
+{
+public:
+    EndlessServer(asio::io_context &context, std::string opening, std::string repeated)
+        : m_acceptor(context, {asio::ip::make_address("127.0.0.1"), 0})
+        , m_opening(std::move(opening))
+    {
+        // One write holds many repetitions, so that the server is faster than the reader.
+        while (m_repeated.size() < std::size_t{64} * 1024)
+            m_repeated += repeated;
+        accept();
+    }
+
+    [[nodiscard]] Address address() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+    [[nodiscard]] bool isAnyOpen() const { return m_open > 0; }
+
+private:
+    using Socket = std::shared_ptr<tcp::socket>;
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
+            if (error)
+                return;
+            ++m_open;
+            const auto held = std::make_shared<tcp::socket>(std::move(socket));
+            awaitRequest(held);
+            accept();
+        });
+    }
+    void awaitRequest(const Socket &socket)
+    {
+        socket->async_read_some(asio::buffer(m_in),
+                                [this, socket](const error_code &error, std::size_t) {
+                                    if (error)
+                                        --m_open;
+                                    else
+                                        write(socket, m_opening);
+                                });
+    }
+    void write(const Socket &socket, const std::string &bytes)
+    {
+        asio::async_write(*socket, asio::buffer(bytes),
+                          [this, socket](const error_code &error, std::size_t) {
+                              if (error)
+                                  --m_open;
+                              else
+                                  write(socket, m_repeated);
+                          });
+    }
+
+    tcp::acceptor m_acceptor;
+    std::array<char, 4096> m_in{};
+    std::string m_opening;
+    std::string m_repeated;
+    int m_open = 0;
+};
+
+/// Sends one request as soon as the connection is open.
+class Requester final : public gateway::ServerLinkListener
+{
+public:
+    Requester(AsioServerLinks &links, const Address &address)
+        : m_link(links.open(address, *this))
+    {
+    }
+
+    void onOpened() override
+    {
+        auto request = std::make_shared<gateway::CallerRequest>();
+        request->id = RequestId("r1");
+        request->method = "GET";
+        request->target = "/x";
+        request->host = "host.example";
+        m_link->send({std::move(request), ServerId("i-1"), seconds(1)});
+    }
+    void onReply(gateway::ServerReply given, bool) override { reply = std::move(given); }
+    void onClosed(bool) override { isClosed = true; }
+
+    std::optional<gateway::ServerReply> reply;
+    bool isClosed = false;
+
+private:
+    std::unique_ptr<gateway::ServerLink> m_link;
+};
+
+struct EndlessBytes
+{
+    const char *name;
+    std::string opening;
+    std::string repeated;
+};
+
+std::vector<EndlessBytes> patterns()
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n";
+    return {
+        {"StatusLine", "HTTP/1.1 200 ", "x"},
+        {"HeaderLine", ok + "X: ", "x"},
+        {"HeaderFields", ok, "X: x\r\n"},
+        {"InterimReplies", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+        {"RepliesToOtherRequests", "",
+         "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\nx"},
+        {"BodyWithoutLength", ok + "Receipt: a\r\n\r\n", "x"},
+        {"LongBody", ok + "Content-Length: 1000000000000\r\n\r\n", "x"},
+        {"Chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+        {"LongChunk", ok + "Transfer-Encoding: chunked\r\n\r\nFFFFFFFFF\r\n", "x"},
+        {"ChunkExtension", ok + "Transfer-Encoding: chunked\r\n\r\n1;a=", "x"},
+        {"Trailers", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: x\r\n"},
+        {"NoHttpAtAll", "", std::string("\0\1\2", 3)},
+    };
+}
+
+class EndlessBytesTest : public ::testing::TestWithParam<EndlessBytes>
+{
+};
+
+TEST_P(EndlessBytesTest, ConnectionIsClosedAfterABoundedNumberOfBytes)
+{
+    asio::io_context context;
+    EndlessServer server(context, GetParam().opening, GetParam().repeated);
+    AsioServerLinks links(context, headerNames());
+    Requester requester(links, server.address());
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!requester.isClosed && std::chrono::steady_clock::now() < until) {
+        context.run_one_for(std::chrono::milliseconds(100));
+        ASSERT_LE(links.heldBytes(), AsioServerLinks::maximumHeldBytes);
+    }
+    EXPECT_TRUE(requester.isClosed);
+    EXPECT_FALSE(requester.reply);
+    EXPECT_EQ(links.heldBytes(), 0U);
+    context.run_for(std::chrono::milliseconds(200));
+    EXPECT_FALSE(server.isAnyOpen());
+}
+
+INSTANTIATE_TEST_SUITE_P(AllPatterns, EndlessBytesTest, ::testing::ValuesIn(patterns()),
+                         [](const auto &testCase) { return std::string(testCase.param.name); });
+
+TEST(ServerLinks, ManyEndlessServersTogetherHoldABoundedNumberOfBytes)
+{
+    asio::io_context context;
+    EndlessServer server(
+        context, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 8000000\r\n\r\n", "x");
+    AsioServerLinks links(context, headerNames());
+    std::vector<std::unique_ptr<Requester>> requesters;
+    for (int count = 0; count < 60; ++count)
+        requesters.push_back(std::make_unique<Requester>(links, server.address()));
+    std::size_t most = 0;
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    const auto isDone = [](const auto &requester) {
+        return requester->isClosed || requester->reply;
+    };
+    while (!std::ranges::all_of(requesters, isDone) && std::chrono::steady_clock::now() < until) {
+        context.run_one_for(std::chrono::milliseconds(100));
+        most = std::max(most, links.heldBytes());
+    }
+    EXPECT_LE(most, AsioServerLinks::maximumHeldBytes);
+    EXPECT_TRUE(std::ranges::all_of(requesters, isDone));
+    // Room that is free again is used: not all of them are turned away.
+    EXPECT_TRUE(std::ranges::any_of(
+        requesters, [](const auto &requester) { return requester->reply.has_value(); }));
+}
+
+} // namespace
