Load patterns of the coordinated deployment

295 instances, 180 shards in five data centres, 15 coordinators: one server of 83 shards seven times slower, and two thirds of the coordinators killed.

--- a/modules/gateway/tests/LoadPatternTest.cpp
+++ b/modules/gateway/tests/LoadPatternTest.cpp
@@ -171,6 +171,49 @@
     EXPECT_GE(results.at("/urgent/").credit, 0.8);
 }
 
+/// The policy of an instance of the coordinated deployment.
+GatewayPolicy coordinatedDeploymentPolicy(const LoadProfile &profile)
+{
+    constexpr double fleetAllowance = 630;
+    constexpr double usedFraction = 0.9;
+    GatewayPolicy policy = largeDeploymentPolicy(profile);
+    policy.extraAttempts.allowance = usedFraction * fleetAllowance / profile.instances;
+    policy.fleetExtraAllowance = usedFraction * fleetAllowance;
+    return policy;
+}
+
+// Each instance runs a gathered request only each nine seconds, and would meet the slow servers as
+// if for the first time.
+TEST(LoadPattern, SlowServersOfManyShardsAreKnownToCoordinators)
+{
+    const LoadProfile profile = coordinatedDeployment();
+    const auto results = runSimulations(
+        [](LoadSimulation &simulation) {
+            for (int number = 0; number < 83; ++number) {
+                simulation.servers().behaviour(addressOf(2 * number, number % 3)).slowdown = 7.1;
+            }
+        },
+        profile, coordinatedDeploymentPolicy(profile));
+    EXPECT_GE(results.at("/search/").credit, 0.8);
+    EXPECT_GE(results.at("/urgent/").credit, 0.8);
+    EXPECT_GE(results.at("/search/").servedShare, 0.99);
+}
+
+// Requests in progress at a killed coordinator are executed again, and later ones go elsewhere.
+TEST(LoadPattern, TwoThirdsOfTheCoordinatorsAreKilled)
+{
+    const LoadProfile profile = coordinatedDeployment();
+    const auto results = runSimulations(
+        [](LoadSimulation &simulation) {
+            for (int number = 0; number < 10; ++number)
+                simulation.kill(number);
+        },
+        profile, coordinatedDeploymentPolicy(profile));
+    EXPECT_GE(results.at("/search/").credit, 0.8);
+    EXPECT_GE(results.at("/urgent/").credit, 0.8);
+    EXPECT_GE(results.at("/search/").servedShare, 0.99);
+}
+
 TEST(LoadPattern, CallsOfDisconnectedCallersDoNotAccumulate)
 {
     LoadProfile profile = smallDeployment();
--- a/modules/gateway/tests/support/LoadSimulation.cpp
+++ b/modules/gateway/tests/support/LoadSimulation.cpp
@@ -87,20 +87,28 @@
     m_servers.executionTime = executionTimeOf;
     m_servers.handshakeTime = milliseconds(6);
     for (int number = 0; number < m_profile.instances; ++number) {
-        m_instances.push_back(
-            std::make_unique<TestInstance>(m_scheduler, m_servers, policy, m_random(),
-                                           dataCentreName(number % m_profile.dataCentres)));
+        m_instances.push_back(std::make_unique<CoordinatedInstance>(
+            m_scheduler, m_mesh, m_servers, policy, number,
+            dataCentreName(number % m_profile.dataCentres),
+            static_cast<std::size_t>(m_profile.instances), m_random()));
+        TestInstance &instance = m_instances.back()->local;
+        m_inUse.push_back(&instance);
         for (int service = 0; service <= m_profile.shards; ++service) {
             const int count = service == m_profile.shards ? notesServers : m_profile.replicas;
             for (int server = 0; server < count; ++server) {
                 ServerRegistration registration = registrationOf(service, server);
                 registration.dataCentre =
-                    DataCentreId(dataCentreName(server % m_profile.dataCentres));
-                m_instances.back()->fleet.onRegistration(registration.id, &registration);
+                    DataCentreId(dataCentreName((service + server) % m_profile.dataCentres));
+                instance.fleet.onRegistration(registration.id, &registration);
             }
         }
-        m_instances.back()->gateway.configure(makeConfiguration(m_profile));
+        instance.gateway.configure(makeConfiguration(m_profile));
     }
+    std::vector<Instance> coordinators;
+    for (int number = 0; number < m_profile.coordinators; ++number)
+        coordinators.push_back(m_instances[static_cast<std::size_t>(number)]->description);
+    for (const auto &instance : m_instances)
+        instance->delegation.onCoordinators(InstanceId("seed"), coordinators);
     for (int server = 0; server < notesServers; ++server)
         m_servers.behaviour(addressOf(m_profile.shards, server)).slots = 4;
     if (m_profile.pause > Duration{}) {
@@ -119,6 +127,13 @@
     m_scheduler.schedule(TimePoint{} + warmUpTime + time, std::move(change));
 }
 
+void LoadSimulation::kill(int number)
+{
+    CoordinatedInstance &instance = *m_instances[static_cast<std::size_t>(number)];
+    std::erase(m_inUse, &instance.local);
+    m_mesh.kill(instance.description.id);
+}
+
 void LoadSimulation::run(Duration length)
 {
     m_scheduler.runFor(length);
@@ -171,7 +186,7 @@
     --request->attemptsLeft;
     m_attempts.emplace_back(request->stream.path, m_scheduler.now());
     const Duration left = request->stream.callerTimeout - (m_scheduler.now() - request->sentAt);
-    TestInstance &instance = *m_instances[m_random() % m_instances.size()];
+    TestInstance &instance = *m_inUse[m_random() % m_inUse.size()];
     request->received =
         instance.sendRequest("r" + std::to_string(++m_nextId), request->stream.path + "x", left);
     pollForAnswer(request);
@@ -230,6 +245,25 @@
     return profile;
 }
 
+LoadProfile coordinatedDeployment()
+{
+    LoadProfile profile;
+    profile.instances = 295;
+    profile.coordinators = 15;
+    profile.shards = 180;
+    profile.replicas = 3;
+    profile.dataCentres = 5;
+    profile.connectionCap = 175;
+    profile.searchMinimumShare = 0.95;
+    profile.urgentMinimumShare = 0.85;
+    profile.streams = {
+        {"/search/", 24, seconds(3), milliseconds(200), 1},
+        {"/urgent/", 8, milliseconds(1200), milliseconds(80), 1},
+        {"/notes/", 8, seconds(15), milliseconds(800), 1},
+    };
+    return profile;
+}
+
 LoadProfile largeDeployment()
 {
     LoadProfile profile;
--- a/modules/gateway/tests/support/LoadSimulation.h
+++ b/modules/gateway/tests/support/LoadSimulation.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "TestGateway.h"
+#include "SimulatedPeers.h"
 
 #include <functional>
 #include <memory>
@@ -24,9 +24,12 @@
 struct LoadProfile
 {
     int instances = 20;
+    /// Number of the instances, the first ones, that coordinate gathered requests for the others.
+    int coordinators = 0;
     int shards = 20;
     int replicas = 2;
-    /// Data centres, to which the instances and the servers of each service are assigned in turn.
+    /// Data centres, to which the instances are assigned in turn, and the servers of each service,
+    /// beginning at a data centre that differs from that of the service before.
     int dataCentres = 1;
     /// Maximum number of connections that a server accepts from all instances together.
     int connectionCap = 58;
@@ -79,7 +82,12 @@
     [[nodiscard]] SimulatedServers &servers() { return m_servers; }
     [[nodiscard]] VirtualScheduler &scheduler() { return m_scheduler; }
     [[nodiscard]] const LoadProfile &profile() const { return m_profile; }
-    TestInstance &instance(int number) { return *m_instances[static_cast<std::size_t>(number)]; }
+    TestInstance &instance(int number)
+    {
+        return m_instances[static_cast<std::size_t>(number)]->local;
+    }
+    /// Ends the process of an instance; no caller uses it any more.
+    void kill(int number);
 
 private:
     struct Request;
@@ -95,7 +103,9 @@
     VirtualScheduler m_scheduler;
     SimulatedServers m_servers;
     std::mt19937_64 m_random;
-    std::vector<std::unique_ptr<TestInstance>> m_instances;
+    PeerMesh m_mesh{m_scheduler};
+    std::vector<std::unique_ptr<CoordinatedInstance>> m_instances;
+    std::vector<TestInstance *> m_inUse;
     std::vector<std::shared_ptr<Request>> m_requests;
     std::vector<std::pair<std::string, TimePoint>> m_attempts;
     std::uint64_t m_nextId = 0;
@@ -109,4 +119,8 @@
 /// only one request in a few seconds.
 [[nodiscard]] LoadProfile largeDeployment();
 
+/// A deployment of 180 shards with three servers each, in three of five data centres, and 295
+/// instances, 15 of which coordinate.
+[[nodiscard]] LoadProfile coordinatedDeployment();
+
 } // namespace oleander::gateway::testing
--- a/modules/gateway/tests/support/SimulatedPeers.h
+++ b/modules/gateway/tests/support/SimulatedPeers.h
@@ -73,9 +73,10 @@
 public:
     CoordinatedInstance(VirtualScheduler &scheduler, PeerMesh &mesh, ServerLinkFactory &links,
                         const GatewayPolicy &policy, int number, const std::string &dataCentre,
-                        std::size_t fleetSize)
+                        std::size_t fleetSize, std::optional<std::uint64_t> seed = {})
         : description(describe(number, dataCentre))
-        , local(scheduler, links, policy, static_cast<std::uint64_t>(number) + 1, dataCentre)
+        , local(scheduler, links, policy, seed.value_or(static_cast<std::uint64_t>(number) + 1),
+                dataCentre)
         , delegation(description.id, description.dataCentre, local.fleet, *this, *this, local.timer,
                      local.log, local.policy, [fleetSize] { return std::optional(fleetSize); })
         , server(local.gateway, local.timer, local.policy)
