--- a/modules/gateway/include/oleander/gateway/GatewayPolicy.h
+++ b/modules/gateway/include/oleander/gateway/GatewayPolicy.h
@@ -37,6 +37,9 @@
     Duration cancelDelay = milliseconds(300);
     /// Default value of the Retry-After header in refusals.
     Duration retryAfter = milliseconds(400);
+    /// Retry-After of an instance that has started and does not know a configuration yet. Longer
+    /// than it takes to read one, since a caller that comes back too early is refused again.
+    Duration startRetryAfter = seconds(1);
     /// A connection is closed when its reply is overdue by this time after the deadline.
     Duration silenceLimit = milliseconds(400);
     /// Maximum idle time of a connection that carries non-idempotent requests.
--- a/modules/gateway/src/CallBase.cpp
+++ b/modules/gateway/src/CallBase.cpp
@@ -20,15 +20,15 @@
     return deadline;
 }
 
-std::string formatSeconds(Duration duration)
+} // namespace
+
+HttpField retryAfterField(Duration duration)
 {
     std::array<char, 32> text{};
     std::snprintf(text.data(), text.size(), "%.2f", inMilliseconds(duration) / 1000.0);
-    return text.data();
+    return {"Retry-After", text.data()};
 }
 
-} // namespace
-
 CallTerms callTerms(const CallerRequest &request, const RouteTablePtr &routes, const Route &route,
                     const GatewayPolicy &policy)
 {
@@ -115,7 +115,7 @@
                                    {"configuration", m_terms.configuration.value()},
                                    {"afterMs", inMilliseconds(age())}});
     answer({statusUnavailable,
-            {{"Retry-After", formatSeconds(m_gateway.m_policy.retryAfter)}},
+            {retryAfterField(m_gateway.m_policy.retryAfter)},
             "not run: " + std::string(cause) + "\n"});
 }
 
--- a/modules/gateway/src/Calls.h
+++ b/modules/gateway/src/Calls.h
@@ -18,6 +18,9 @@
     std::vector<double> weightCredits;
 };
 
+/// Tells a refused caller when to come back.
+[[nodiscard]] HttpField retryAfterField(Duration duration);
+
 /// The terms on which a request is executed.
 struct CallTerms
 {
--- a/modules/gateway/src/Gateway.cpp
+++ b/modules/gateway/src/Gateway.cpp
@@ -58,8 +58,11 @@
                      {{"cause", cause},
                       {"status", status},
                       {"configuration", m_routes ? m_routes->version().value() : 0}});
-        m_timer.post([answer = std::move(answer), status, cause] {
-            answer({status, {}, std::string(cause) + "\n"});
+        std::vector<HttpField> fields;
+        if (!m_routes)
+            fields.push_back(retryAfterField(m_policy.startRetryAfter));
+        m_timer.post([answer = std::move(answer), status, cause, fields = std::move(fields)] {
+            answer({status, fields, std::string(cause) + "\n"});
         });
         return nullptr;
     }
--- a/modules/gateway/tests/CallTest.cpp
+++ b/modules/gateway/tests/CallTest.cpp
@@ -53,6 +53,17 @@
     EXPECT_EQ(received->answer->fields.size(), 1U + shardCount);
 }
 
+TEST_F(CallTest, InstanceWithoutAConfigurationTellsCallersWhenToComeBack)
+{
+    TestInstance starting{scheduler, servers, {}, 3};
+    const auto received = starting.sendRequest("r", "/gather/x", seconds(3));
+    scheduler.runFor(milliseconds(1));
+    ASSERT_TRUE(received->answer);
+    EXPECT_EQ(received->answer->status, 503);
+    const HttpField retryAfter{"Retry-After", "1.00"};
+    EXPECT_EQ(received->answer->fields, std::vector{retryAfter});
+}
+
 TEST_F(CallTest, PartialAnswerIsSentAtTheObjectiveAndCountsMissingShards)
 {
     changeBehaviourOf(0, [](ServerBehaviour &behaviour) { behaviour.slowdown = 200; });
