--- a/modules/adapters/src/concurrency/GrowingStringBody.h
+++ b/modules/adapters/src/concurrency/GrowingStringBody.h
@@ -20,6 +20,8 @@
 
     static std::uint64_t size(const value_type &body) { return body.size(); }
 
+    // The name is that of Beast's concept.
+    // NOLINTNEXTLINE(readability-identifier-naming)
     class reader
     {
     public:
--- a/modules/adapters/tests/gateway/ServerLinksTest.cpp
+++ b/modules/adapters/tests/gateway/ServerLinksTest.cpp
@@ -37,7 +37,7 @@
 class EndlessServer
 {
 public:
-    EndlessServer(asio::io_context &context, std::string opening, std::string repeated)
+    EndlessServer(asio::io_context &context, std::string opening, const std::string &repeated)
         : m_acceptor(context, {asio::ip::make_address("127.0.0.1"), 0})
         , m_opening(std::move(opening))
     {
@@ -182,7 +182,9 @@
         context, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 8000000\r\n\r\n", "x");
     AsioServerLinks links(context, headerNames());
     std::vector<std::unique_ptr<Requester>> requesters;
-    for (int count = 0; count < 60; ++count)
+    constexpr std::size_t servers = 60;
+    requesters.reserve(servers);
+    for (std::size_t count = 0; count < servers; ++count)
         requesters.push_back(std::make_unique<Requester>(links, server.address()));
     std::size_t most = 0;
     const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(20);
--- a/modules/gateway/src/CoordinatorDirectory.cpp
+++ b/modules/gateway/src/CoordinatorDirectory.cpp
@@ -31,8 +31,10 @@
     for (const auto &[id, list] : m_lists)
         merged.insert(merged.end(), list.coordinators.begin(), list.coordinators.end());
     std::ranges::sort(merged, {}, &Instance::id);
-    const auto repeated = std::ranges::unique(merged, {}, &Instance::id);
-    merged.erase(repeated.begin(), repeated.end());
+    const auto haveSameId = [](const Instance &left, const Instance &right) {
+        return left.id == right.id;
+    };
+    merged.erase(std::unique(merged.begin(), merged.end(), haveSameId), merged.end());
     if (merged == m_known)
         return false;
     m_known = std::move(merged);
