--- a/modules/gateway/src/GatherServer.cpp
+++ b/modules/gateway/src/GatherServer.cpp
@@ -143,7 +143,7 @@
     for (const Route &route : table->configuration().routes) {
         if (!route.isGathered() || digestOf(gatherRules(route)) != digest)
             continue;
-        const std::shared_ptr<const Route> known(table, &route);
+        std::shared_ptr<const Route> known(table, &route);
         keepRoute(digest, known);
         return known;
     }
--- a/modules/gateway/tests/CoordinatorTest.cpp
+++ b/modules/gateway/tests/CoordinatorTest.cpp
@@ -82,6 +82,7 @@
 TEST(CoordinatorDirectory, OneLostCoordinatorMovesOnlyItsShare)
 {
     std::vector<Instance> coordinators;
+    coordinators.reserve(9);
     for (int number = 0; number < 9; ++number)
         coordinators.push_back(CoordinatedInstance::describe(number, "dc"));
     const TimePoint now = TimePoint{} + seconds(100);
@@ -168,11 +169,11 @@
         scheduler.runFor(seconds(11));
     }
 
-    CoordinatedInstance &coordinator(int number) { return *instances[std::size_t(number)]; }
-    CoordinatedInstance &entry(int number)
+    CoordinatedInstance &coordinator(int number)
     {
-        return *instances[std::size_t(coordinatorCount + number)];
+        return *instances[static_cast<std::size_t>(number)];
     }
+    CoordinatedInstance &entry(int number) { return coordinator(coordinatorCount + number); }
     /// The coordinator in the data centre of the entry, which it prefers.
     InstanceId preferredBy(int number) { return coordinator(number).description.id; }
     std::shared_ptr<ReceivedAnswer> send(int number, const std::string &id = "r1")
@@ -414,7 +415,7 @@
     {
         std::uint64_t sum = 0;
         for (int number = 1; number < dataCentreCount; ++number)
-            sum += instances[std::size_t(number)]->local.gateway.counts().coordinated;
+            sum += instances[static_cast<std::size_t>(number)]->local.gateway.counts().coordinated;
         return sum;
     }
 
--- a/modules/gateway/tests/support/LoadSimulation.cpp
+++ b/modules/gateway/tests/support/LoadSimulation.cpp
@@ -105,6 +105,7 @@
         instance.gateway.configure(makeConfiguration(m_profile));
     }
     std::vector<Instance> coordinators;
+    coordinators.reserve(static_cast<std::size_t>(m_profile.coordinators));
     for (int number = 0; number < m_profile.coordinators; ++number)
         coordinators.push_back(m_instances[static_cast<std::size_t>(number)]->description);
     for (const auto &instance : m_instances)
