--- a/modules/adapters/tests/gateway/ServerLinksTest.cpp
+++ b/modules/adapters/tests/gateway/ServerLinksTest.cpp
@@ -29,7 +29,7 @@
     HeaderNames names;
     names.requestId = "Request-Id";
     names.receipt = "Receipt";
-    names.notExecuted = "Not-Executed";
+    names.notExecuted = "Not-Run";
     return names;
 }
 
