A request that a lost coordinator may have executed is not refused as not run

Cause, found on the last reading: when a coordinator was lost with a request and no other could be reached, the entry executed it itself; if no server could be asked from there the caller got 503, which says that nothing has run. Now it is 502.

Ruled out: the same over a second coordinator, whose 503 became 502 already; groups of shards, whose calls count as possibly executed.

Test: CoordinatedFleet.ARequestThatALostCoordinatorMayHaveExecutedIsNotRefusedHere, 503 before.

--- a/modules/gateway/src/DelegatedGatherCall.cpp
+++ b/modules/gateway/src/DelegatedGatherCall.cpp
@@ -73,7 +73,13 @@
     localTerms.isRerun = m_mayHaveRun;
     m_localCall = std::make_shared<GatherCall>(
         m_gateway, m_request, std::move(localTerms), [weak = weak_from_this()](CallerAnswer given) {
-            if (const auto self = std::static_pointer_cast<DelegatedGatherCall>(weak.lock()))
+            const auto self = std::static_pointer_cast<DelegatedGatherCall>(weak.lock());
+            if (!self)
+                return;
+            // A lost coordinator may have executed what could not be executed here.
+            if (given.status == statusUnavailable && self->m_mayHaveRun)
+                self->fail(statusBadGateway, "coordinator lost");
+            else
                 self->answer(std::move(given));
         });
     m_localCall->start();
--- a/modules/gateway/tests/CoordinatorTest.cpp
+++ b/modules/gateway/tests/CoordinatorTest.cpp
@@ -315,6 +315,22 @@
     EXPECT_EQ(entry(0).local.gateway.counts().undelegated, 1U);
 }
 
+TEST_F(CoordinatedFleet, ARequestThatALostCoordinatorMayHaveExecutedIsNotRefusedHere)
+{
+    for (int shard = 0; shard < shardCount; ++shard) {
+        for (int server = 0; server < 3; ++server)
+            entry(0).local.fleet.onRegistration(registrationOf(shard, server).id, nullptr);
+    }
+    const auto received = send(0);
+    scheduler.runFor(milliseconds(5));
+    for (int number = coordinatorCount - 1; number >= 0; --number)
+        mesh.kill(coordinator(number).description.id);
+    scheduler.runFor(milliseconds(200));
+    ASSERT_TRUE(received->answer);
+    EXPECT_EQ(entry(0).local.gateway.counts().undelegated, 1U);
+    EXPECT_EQ(received->answer->status, 502);
+}
+
 TEST_F(CoordinatedFleet, ACallerThatLeavesFreesTheServersThroughTheHop)
 {
     for (int shard = 0; shard < shardCount; ++shard) {
