--- a/review/rig/Rig.cpp
+++ b/review/rig/Rig.cpp
@@ -10,6 +10,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace review {
 
@@ -457,13 +458,19 @@
             return;
         }
         std::string rest;
+        std::string secondAnswer;
         while (const auto request = readRequest(descriptor, rest)) {
-            if (!handle(descriptor, *request))
+            if (!secondAnswer.empty()) {
+                m_owner.m_record.line("server " + m_id + " sends a damaged second answer before "
+                                      + request->field("request-id"));
+                writeAll(descriptor, std::exchange(secondAnswer, {}));
+            }
+            if (!handle(descriptor, *request, secondAnswer))
                 return;
         }
     }
 
-    bool handle(int descriptor, const HttpRequest &request)
+    bool handle(int descriptor, const HttpRequest &request, std::string &secondAnswer)
     {
         const double arrivedAt = nowMs();
         const std::string requestId = request.field("request-id");
@@ -494,10 +501,12 @@
         while (body.size() < m_shape.bodyBytes)
             body += "record " + m_id.substr(m_id.size() - 4) + std::to_string(10000 + body.size());
         body.resize(m_shape.bodyBytes);
-        return writeAll(descriptor, httpAnswer(200, "OK",
-                                               idField(requestId) + "Server-Stamp: " + m_id + "."
-                                                   + requestId + "\r\n" + load(),
-                                               body));
+        const std::string fields = "Server-Stamp: " + m_id + "." + requestId + "\r\n" + load();
+        const int damaged = m_shape.damagedSecondAnswers;
+        if (damaged > 0 && ++m_answers % damaged == 0)
+            secondAnswer =
+                httpAnswer(200, "OK", "Reqvest-Id: " + requestId + "\r\n" + fields, body);
+        return writeAll(descriptor, httpAnswer(200, "OK", idField(requestId) + fields, body));
     }
 
     static std::string idField(const std::string &id)
@@ -582,6 +591,7 @@
     std::uint64_t m_nextTurn = 0;
     bool m_isEnded = false;
     int m_sequence = 0;
+    std::atomic<int> m_answers{0};
     std::unique_ptr<Listener> m_listener;
 };
 
