--- a/bench/decisions/RequestDecisionsBench.cpp
+++ b/bench/decisions/RequestDecisionsBench.cpp
@@ -105,11 +105,11 @@
     const Policy policy;
     const TimePoint now{seconds(1)};
     for (std::uint64_t value = 1; value <= 10000; ++value)
-        noteHarmless(memory, Fingerprint(value), now, policy);
+        noteHarmless(memory, Fingerprint(value), now, crashRulesOf(policy));
     std::uint64_t value = 0;
     for (auto _ : state)
         benchmark::DoNotOptimize(
-            decideDispatch(memory, Fingerprint(++value % 20000 + 1), now, policy));
+            decideDispatch(memory, Fingerprint(++value % 20000 + 1), now, crashRulesOf(policy)));
 }
 
 void judgeOnce(benchmark::State &state)
--- a/modules/adapters/include/oleander/adapters/gateway/FleetBeacon.h
+++ b/modules/adapters/include/oleander/adapters/gateway/FleetBeacon.h
@@ -3,6 +3,7 @@
 #include <oleander/core/FleetView.h>
 #include <oleander/core/Ids.h>
 #include <oleander/core/Reason.h>
+#include <oleander/decisions/request/CrashMemory.h>
 #include <oleander/ports/TimerService.h>
 #include <oleander/settings/Address.h>
 
@@ -36,6 +37,8 @@
     bool isLeaving = false;
     /// The coordinators that it has elected. Only stated by seeds, and only in replies.
     std::vector<Instance> coordinators;
+    /// What it knows of requests that crash servers, the newest first.
+    std::vector<CrashReport> crashes;
 };
 
 /// Tells a few seed instances over UDP that this instance is there, and hears from them how many
@@ -43,8 +46,9 @@
 ///
 /// Datagrams are JSON: `{"instance": NAME, "dataCentre": NAME, "heardOf": COUNT, "peerPort":
 /// PORT, "isReader": BOOL, "isReply": BOOL, "strength": CORES, "isLeaving": BOOL, "coordinators":
-/// [[NAME, DATA CENTRE, ADDRESS]]}`; the last three may be missing. One that is lost is made up by
-/// the next.
+/// [[NAME, DATA CENTRE, ADDRESS]], "crashes": [[FINGERPRINT, SERVER, THOUSANDTHS, AGE IN MS]]}`;
+/// the last four may be missing, and a survived execution has no server. One that is lost is made
+/// up by the next.
 class FleetBeacon
 {
 public:
@@ -67,6 +71,9 @@
 
     /// Calls the seeds now, besides the periodic calls.
     void announce();
+    /// Tells the seeds and all instances that were heard of lately. For news that can't wait until
+    /// they call.
+    void announceToAll();
 
 private:
     class Impl;
--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -21,6 +21,7 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using boost::system::error_code;
+using gateway::LinkEnd;
 using gateway::ServerReply;
 using tcp = asio::ip::tcp;
 
@@ -93,7 +94,7 @@
             m_socket.open(number.is_v4() ? tcp::v4() : tcp::v6(), error);
         if (error) {
             asio::post(m_socket.get_executor(),
-                       [self = shared_from_this()] { self->close(false); });
+                       [self = shared_from_this()] { self->close(LinkEnd::NotOpened); });
             return;
         }
         m_socket.set_option(tcp::no_delay(true), error);
@@ -142,10 +143,9 @@
         if (!m_listener)
             return;
         if (error) {
-            close(false);
+            close(LinkEnd::NotOpened);
             return;
         }
-        m_wasOpened = true;
         read();
         m_listener->onOpened();
     }
@@ -170,11 +170,11 @@
         }
         if (!m_request) {
             // Nothing was asked for: an extra reply, which belongs to no request.
-            close(true);
+            close(LinkEnd::Unusable);
             return;
         }
         if (!hold(count)) {
-            close(true);
+            close(LinkEnd::Unusable);
             return;
         }
         if (parse() && m_listener)
@@ -205,7 +205,10 @@
                 return;
             }
         }
-        close(m_wasOpened);
+        const bool isClosedByServer =
+            error == asio::error::eof || error == asio::error::connection_reset;
+        const bool isReplyBegun = m_parser && m_parser->got_some();
+        close(isClosedByServer && !isReplyBegun ? LinkEnd::ClosedByServer : LinkEnd::Unusable);
     }
 
     /// Takes replies out of what was read. False when the connection is not to be read any more.
@@ -224,7 +227,7 @@
             if (error == http::error::need_more)
                 return true;
             if (error) {
-                close(true);
+                close(LinkEnd::Unusable);
                 return false;
             }
             if (!m_parser->is_done())
@@ -267,7 +270,7 @@
     {
         if (++m_skippedReplies <= maximumSkippedReplies)
             return true;
-        close(true);
+        close(LinkEnd::Unusable);
         return false;
     }
 
@@ -308,18 +311,17 @@
         return text;
     }
 
-    void close(bool wasOpened)
+    void close(LinkEnd end)
     {
         gateway::ServerLinkListener *const listener = m_listener;
         abandon();
         if (listener)
-            listener->onClosed(wasOpened);
+            listener->onClosed(end);
     }
 
     tcp::socket m_socket;
     const HeaderNames &m_names;
     gateway::ServerLinkListener *m_listener;
-    bool m_wasOpened = false;
     bool m_isWriting = false;
     /// Something was seen after which the connection must not be used again.
     bool m_isBroken = false;
--- a/modules/adapters/src/gateway/FleetBeacon.cpp
+++ b/modules/adapters/src/gateway/FleetBeacon.cpp
@@ -5,7 +5,9 @@
 #include <boost/asio/ip/udp.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
+#include <map>
 #include <optional>
 #include <utility>
 
@@ -24,6 +26,10 @@
 constexpr int quickCalls = 6;
 constexpr std::size_t largestDatagram = 4096;
 constexpr std::size_t maximumCoordinators = 64;
+/// Keeps a message with all coordinators within a datagram.
+constexpr std::size_t maximumCrashReports = 32;
+/// Instances that have not called for this time are gone.
+constexpr Duration callerLifetime = seconds(10);
 
 struct Message
 {
@@ -47,9 +53,38 @@
                 {coordinator.id.text(), coordinator.dataCentre.text(), coordinator.peerAddress});
         document["coordinators"] = std::move(list);
     }
+    if (!news.crashes.empty()) {
+        json list = json::array();
+        for (const CrashReport &report : news.crashes) {
+            if (list.size() == maximumCrashReports)
+                break;
+            list.push_back({report.loss.fingerprint.value(), report.loss.server.text(),
+                            report.loss.share, report.age / milliseconds(1)});
+        }
+        document["crashes"] = std::move(list);
+    }
     return document.dump();
 }
 
+std::vector<CrashReport> decodeCrashes(const json &list)
+{
+    std::vector<CrashReport> crashes;
+    for (const json &entry : list) {
+        if (crashes.size() == maximumCrashReports)
+            break;
+        CrashReport report;
+        report.loss.fingerprint = Fingerprint(entry.at(0).get<std::uint64_t>());
+        report.loss.server = ServerId(entry.at(1).get<std::string>());
+        report.loss.share =
+            std::clamp<std::int64_t>(entry.at(2).get<std::int64_t>(), 0, wholeServer);
+        report.age = milliseconds(std::max<std::int64_t>(0, entry.at(3).get<std::int64_t>()));
+        const bool isLossOfNothing = !report.hasSurvived() && report.loss.share == 0;
+        if (!isLossOfNothing)
+            crashes.push_back(std::move(report));
+    }
+    return crashes;
+}
+
 std::vector<Instance> decodeCoordinators(const json &list)
 {
     std::vector<Instance> coordinators;
@@ -84,6 +119,9 @@
         const auto coordinators = document.find("coordinators");
         if (coordinators != document.end())
             message.news.coordinators = decodeCoordinators(*coordinators);
+        const auto crashes = document.find("crashes");
+        if (crashes != document.end())
+            message.news.crashes = decodeCrashes(*crashes);
         return message;
     } catch (const json::exception &) {
         // Whatever a stranger sends to the port; it names no instance.
@@ -145,6 +183,17 @@
             send({m_source(), false}, seed);
     }
 
+    void announceToAll()
+    {
+        announce();
+        const TimePoint now = m_timer.now();
+        std::erase_if(m_callers,
+                      [now](const auto &caller) { return now - caller.second > callerLifetime; });
+        const Message message{m_source(), true};
+        for (const auto &[endpoint, calledAt] : m_callers)
+            send(message, endpoint);
+    }
+
 private:
     void call()
     {
@@ -178,8 +227,10 @@
             error ? std::nullopt : decode(std::string_view(m_buffer.data(), count));
         if (message) {
             m_listener(message->news, m_sender.address().to_string());
-            if (!message->isReply)
+            if (!message->isReply) {
+                m_callers[m_sender] = m_timer.now();
                 send({m_source(), true}, m_sender);
+            }
         }
         receive();
     }
@@ -191,6 +242,8 @@
     udp::endpoint m_sender;
     std::array<char, largestDatagram> m_buffer{};
     std::vector<udp::endpoint> m_seeds;
+    /// Instances that have called, and when they last did.
+    std::map<udp::endpoint, TimePoint> m_callers;
     int m_calls = 0;
     Subscription m_next;
 };
@@ -217,4 +270,9 @@
     m_impl->announce();
 }
 
+void FleetBeacon::announceToAll()
+{
+    m_impl->announceToAll();
+}
+
 } // namespace oleander
--- a/modules/adapters/tests/gateway/FleetBeaconTest.cpp
+++ b/modules/adapters/tests/gateway/FleetBeaconTest.cpp
@@ -29,6 +29,7 @@
                   news.strength = 0.5;
                   if (news.isReader)
                       news.coordinators = {coordinator()};
+                  news.crashes = crashes;
                   return news;
               },
               [this](const BeaconNews &news, const std::string &number) {
@@ -36,6 +37,10 @@
                   size.addReportedCount(news.heardOf);
                   if (news.isReader)
                       reader = number;
+                  if (crashes.empty() && !news.crashes.empty()) {
+                      crashes = news.crashes;
+                      beacon.announceToAll();
+                  }
                   strengths[news.instance.text()] = news.strength;
                   if (!news.coordinators.empty())
                       coordinators = news.coordinators;
@@ -57,8 +62,51 @@
     std::string reader;
     std::map<std::string, double> strengths;
     std::vector<oleander::Instance> coordinators;
+    std::vector<CrashReport> crashes;
 };
 
+/// Instances with numbers of their own that call one seed, the first of them.
+struct FleetBeaconTest : ::testing::Test
+{
+    void start(int number)
+    {
+        auto &instance = instances[number];
+        instance = std::make_unique<Instance>(context, timer, "i-" + std::to_string(number));
+        Reason reason;
+        const auto opened = instance->beacon.start({"127.0.0." + std::to_string(number), port},
+                                                   {{"127.0.0.1", 1}}, reason);
+        ASSERT_TRUE(opened) << reason.text;
+        port = *opened;
+    }
+
+    boost::asio::io_context context;
+    AsioTimerService timer{context};
+    /// The first instance takes any free port.
+    std::uint16_t port = 0;
+    std::map<int, std::unique_ptr<Instance>> instances;
+};
+
+// Guards against a crashing request that only the instance knows under which servers were lost.
+TEST_F(FleetBeaconTest, AllInstancesLearnOfCrashingRequestsAlsoAfterARestart)
+{
+    for (int number = 1; number <= 4; ++number)
+        start(number);
+    context.run_for(std::chrono::seconds(4));
+    const CrashReport report{{Fingerprint(~0ULL), ServerId("s-1"), 500}, milliseconds(7)};
+    instances[3]->crashes = {report};
+    instances[3]->beacon.announceToAll();
+    context.run_for(std::chrono::milliseconds(200));
+    for (const auto &[number, instance] : instances)
+        EXPECT_EQ(instance->crashes, std::vector{report}) << number;
+    instances.erase(1);
+    start(1);
+    instances.erase(2);
+    start(2);
+    context.run_for(std::chrono::seconds(4));
+    for (const auto &[number, instance] : instances)
+        EXPECT_EQ(instance->crashes, std::vector{report}) << number;
+}
+
 // All of 127.0.0.0/8 is this machine, so that instances share a port as they do on a platform.
 TEST(FleetBeacon, InstancesLearnTheirNumberFromASeed)
 {
--- a/modules/adapters/tests/gateway/ServerLinksTest.cpp
+++ b/modules/adapters/tests/gateway/ServerLinksTest.cpp
@@ -114,7 +114,7 @@
         m_link->send({std::move(request), ServerId("i-1"), seconds(1)});
     }
     void onReply(gateway::ServerReply given, bool) override { reply = std::move(given); }
-    void onClosed(bool) override { isClosed = true; }
+    void onClosed(gateway::LinkEnd) override { isClosed = true; }
 
     std::optional<gateway::ServerReply> reply;
     bool isClosed = false;
--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -166,6 +166,7 @@
             return std::nullopt;
         m_peers.setHandler(this);
         m_gateway.setDelegation(&m_delegation);
+        m_fleet.crashGuard().setListener([this] { m_beacon.announceToAll(); });
         awaitSignal();
         m_follower.start();
         m_started = m_timer.now();
@@ -246,6 +247,7 @@
         news.isReader = !m_isStopping && isReader(m_settings);
         news.strength = m_settings.processorShare;
         news.isLeaving = m_isStopping;
+        news.crashes = m_fleet.crashGuard().reports();
         if (news.isReader)
             news.coordinators = m_members.coordinators(m_timer.now());
         return news;
@@ -269,6 +271,7 @@
         sender.isLeaving = news.isLeaving;
         if (isReader(m_settings))
             m_members.onBeacon(sender, news.strength, m_timer.now());
+        m_fleet.crashGuard().onReports(news.crashes);
         if (!news.coordinators.empty())
             m_delegation.onCoordinators(news.instance, news.coordinators);
         const auto before = m_fleetSize.estimate();
@@ -374,6 +377,8 @@
             {"servers", "Servers that are registered.", number(m_directory.size())},
             {"server_connections", "Connections to servers.", number(m_fleet.connections())},
             {"caller_connections", "Connections of callers.", number(ingress.connections)},
+            {"suspected_requests", "Requests under which servers were lost.",
+             number(m_fleet.crashGuard().suspectedRequests())},
             {"active_calls", "Requests under way.", number(m_gateway.activeCalls())},
             {"coordinators", "Instances that coordinate gathered requests.",
              number(m_delegation.coordinators())},
--- a/modules/decisions/include/oleander/decisions/request/CrashMemory.h
+++ b/modules/decisions/include/oleander/decisions/request/CrashMemory.h
@@ -5,11 +5,42 @@
 #include <oleander/core/Units.h>
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
 namespace oleander {
 
+/// When a query is taken to crash servers, and what follows from that.
+struct CrashRules
+{
+    /// Whether a query with an unknown fingerprint is first sent to one server only.
+    bool canary = true;
+    /// How long a fingerprint counts as harmless after a server has executed it without crashing.
+    Duration harmlessMemory = seconds(600);
+    /// How long a fingerprint is treated as suspected after the last server loss attributed to it.
+    Duration refusal = seconds(60);
+    /// Number of lost servers after which a fingerprint is refused.
+    int serverLimit = 2;
+};
+
+/// The rules that the policy of a query contains.
+[[nodiscard]] CrashRules crashRulesOf(const Policy &policy);
+
+/// The loss of a whole server, in the unit of attributed losses.
+constexpr std::int64_t wholeServer = 1000;
+
+/// The loss of a server as far as it is attributed to one fingerprint.
+struct AttributedLoss
+{
+    Fingerprint fingerprint;
+    ServerId server;
+    /// In thousandths of a server.
+    std::int64_t share = wholeServer;
+
+    bool operator==(const AttributedLoss &) const = default;
+};
+
 /// The server losses attributed to one fingerprint.
 struct CrashRecord
 {
@@ -22,6 +53,8 @@
     /// The fingerprint counts as harmless until then, because a server has executed it without
     /// crashing.
     TimePoint harmlessUntil{};
+    /// When a server last survived the execution. Earlier losses are not attributed any more.
+    std::optional<TimePoint> survivedAt;
 };
 
 /// The queries of one service that are suspected of crashing servers.
@@ -45,7 +78,7 @@
 };
 
 DispatchDecision decideDispatch(const CrashMemory &memory, Fingerprint fingerprint, TimePoint now,
-                                const Policy &policy);
+                                const CrashRules &rules);
 
 /// Records that a server was lost while it executed `suspects`. The loss is divided equally among
 /// the distinct fingerprints; returns the share of each in thousandths. When several servers are
@@ -54,6 +87,10 @@
 std::int64_t noteServerLost(CrashMemory &memory, const ServerId &server,
                             const std::vector<Fingerprint> &suspects, TimePoint now);
 
+/// Attributes the loss of a server at `when` to one fingerprint. Each server counts once, and none
+/// that was lost before another survived the execution. Returns true if the loss counts.
+bool noteLoss(CrashMemory &memory, const AttributedLoss &loss, TimePoint when);
+
 /// Records that a peer attributed the loss of a server to this fingerprint, `age` ago. Each server
 /// counts once.
 void notePeerLoss(CrashMemory &memory, Fingerprint fingerprint, const ServerId &server,
@@ -62,12 +99,42 @@
 /// Records that a server executed the query and replied. Clears attributed losses unless they
 /// amount to a whole server.
 void noteHarmless(CrashMemory &memory, Fingerprint fingerprint, TimePoint now,
-                  const Policy &policy);
+                  const CrashRules &rules);
+
+/// Records that a server executed a suspected query and replied, where all servers execute the
+/// whole query: one that survives shows that the query does not crash servers. Clears what was
+/// attributed to the fingerprint.
+void noteSurvived(CrashMemory &memory, Fingerprint fingerprint, TimePoint when);
+
+/// What one instance tells another of a fingerprint.
+struct CrashReport
+{
+    /// A loss attributed to the fingerprint. Without a server: a server survived the execution.
+    AttributedLoss loss;
+    /// Time since the last loss attributed to the fingerprint, or since it was survived.
+    Duration age{};
+
+    [[nodiscard]] bool hasSurvived() const { return loss.server.isEmpty(); }
+    bool operator==(const CrashReport &) const = default;
+};
+
+/// What other instances need to know: the losses attributed to suspected fingerprints, of each as
+/// many as the limit needs, and the fingerprints that have been cleared. Only the `maximum`
+/// fingerprints with the newest evidence.
+[[nodiscard]] std::vector<CrashReport> crashReports(const CrashMemory &memory, TimePoint now,
+                                                    const CrashRules &rules, std::size_t maximum);
+
+/// Records what another instance has reported. Returns true if it was a loss that was not known.
+bool noteReport(CrashMemory &memory, const CrashReport &report, TimePoint now);
+
+/// Time until a refused fingerprint may be sent to a server again.
+[[nodiscard]] Duration refusalLeft(const CrashMemory &memory, Fingerprint fingerprint,
+                                   TimePoint now, const CrashRules &rules);
 
 /// Number of currently suspected fingerprints, for operators.
-int countSuspectedFingerprints(const CrashMemory &memory, TimePoint now, const Policy &policy);
+int countSuspectedFingerprints(const CrashMemory &memory, TimePoint now, const CrashRules &rules);
 
 /// Removes expired records. Does nothing if called again within ten seconds.
-void expireCrashRecords(CrashMemory &memory, TimePoint now, const Policy &policy);
+void expireCrashRecords(CrashMemory &memory, TimePoint now, const CrashRules &rules);
 
 } // namespace oleander
--- a/modules/decisions/src/request/CrashMemory.cpp
+++ b/modules/decisions/src/request/CrashMemory.cpp
@@ -1,47 +1,63 @@
 #include <oleander/decisions/request/CrashMemory.h>
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace oleander {
 
 namespace {
 
-constexpr std::int64_t wholeServer = 1000;
 constexpr Duration cleanUpPeriod = seconds(10);
 /// Servers that are lost within this time are assumed to have failed for the same reason.
 constexpr Duration correlationWindow = milliseconds(500);
 
-bool isSuspected(const CrashRecord &record, TimePoint now, const Policy &policy)
+bool isSuspected(const CrashRecord &record, TimePoint now, const CrashRules &rules)
 {
-    return record.attributedLoss > 0 && now < record.lastLoss + policy.crashRefusal;
+    return record.attributedLoss > 0 && now < record.lastLoss + rules.refusal;
 }
 
-void attributeLoss(CrashRecord &record, const ServerId &server, std::int64_t share, TimePoint when)
+bool attributeLoss(CrashRecord &record, const ServerId &server, std::int64_t share, TimePoint when)
 {
-    if (std::ranges::find(record.servers, server) != record.servers.end())
-        return;
+    if ((record.survivedAt && when <= *record.survivedAt)
+        || std::ranges::find(record.servers, server) != record.servers.end())
+        return false;
     const bool isHarmless = when < record.harmlessUntil;
-    if (isHarmless && !record.servers.empty() && when < record.lastLoss + correlationWindow) {
-        return;
-    }
+    if (isHarmless && !record.servers.empty() && when < record.lastLoss + correlationWindow)
+        return false;
     record.servers.push_back(server);
     record.attributedLoss += share;
     record.lastLoss = std::max(record.lastLoss, when);
+    return true;
+}
+
+/// Clears the losses up to `when`, at which a server survived the execution.
+void clear(CrashRecord &record, TimePoint when)
+{
+    record.survivedAt = std::max(record.survivedAt.value_or(when), when);
+    if (record.lastLoss > when)
+        return;
+    record.attributedLoss = 0;
+    record.servers.clear();
 }
 
 } // namespace
 
+CrashRules crashRulesOf(const Policy &policy)
+{
+    return {policy.canary, policy.canaryMemory, policy.crashRefusal, policy.crashServerLimit};
+}
+
 DispatchDecision decideDispatch(const CrashMemory &memory, Fingerprint fingerprint, TimePoint now,
-                                const Policy &policy)
+                                const CrashRules &rules)
 {
     const auto found = memory.records.find(fingerprint);
     if (found != memory.records.end()) {
         const CrashRecord &record = found->second;
         const bool isHarmless = now < record.harmlessUntil;
-        if (isSuspected(record, now, policy)) {
-            const bool isOverLimit =
-                static_cast<int>(record.servers.size()) >= policy.crashServerLimit
-                && record.attributedLoss >= wholeServer;
+        if (isSuspected(record, now, rules)) {
+            const bool isOverLimit = static_cast<int>(record.servers.size()) >= rules.serverLimit
+                                     && record.attributedLoss >= wholeServer;
             if (isOverLimit)
                 return DispatchDecision::Refuse;
             return isHarmless ? DispatchDecision::CanaryFirst : DispatchDecision::CanaryAlone;
@@ -49,7 +65,7 @@
         if (isHarmless)
             return DispatchDecision::SendToAll;
     }
-    return policy.canary ? DispatchDecision::CanaryFirst : DispatchDecision::SendToAll;
+    return rules.canary ? DispatchDecision::CanaryFirst : DispatchDecision::SendToAll;
 }
 
 std::int64_t noteServerLost(CrashMemory &memory, const ServerId &server,
@@ -67,36 +83,100 @@
     return share;
 }
 
+bool noteLoss(CrashMemory &memory, const AttributedLoss &loss, TimePoint when)
+{
+    return attributeLoss(memory.records[loss.fingerprint], loss.server, loss.share, when);
+}
+
 void notePeerLoss(CrashMemory &memory, Fingerprint fingerprint, const ServerId &server,
                   Duration age, TimePoint now)
 {
-    attributeLoss(memory.records[fingerprint], server, wholeServer, now - age);
+    noteLoss(memory, {fingerprint, server, wholeServer}, now - age);
 }
 
-void noteHarmless(CrashMemory &memory, Fingerprint fingerprint, TimePoint now, const Policy &policy)
+void noteHarmless(CrashMemory &memory, Fingerprint fingerprint, TimePoint now,
+                  const CrashRules &rules)
 {
     CrashRecord &record = memory.records[fingerprint];
     // A successful execution clears a partial attribution, but not that of a whole server.
-    if (isSuspected(record, now, policy) && record.attributedLoss >= wholeServer)
+    if (isSuspected(record, now, rules) && record.attributedLoss >= wholeServer)
         return;
     record.attributedLoss = 0;
     record.servers.clear();
-    record.harmlessUntil = now + policy.canaryMemory;
+    record.harmlessUntil = now + rules.harmlessMemory;
+}
+
+void noteSurvived(CrashMemory &memory, Fingerprint fingerprint, TimePoint when)
+{
+    const auto found = memory.records.find(fingerprint);
+    if (found != memory.records.end())
+        clear(found->second, when);
+}
+
+std::vector<CrashReport> crashReports(const CrashMemory &memory, TimePoint now,
+                                      const CrashRules &rules, std::size_t maximum)
+{
+    std::vector<std::pair<TimePoint, Fingerprint>> newest;
+    for (const auto &[fingerprint, record] : memory.records) {
+        if (isSuspected(record, now, rules))
+            newest.emplace_back(record.lastLoss, fingerprint);
+        else if (record.survivedAt && now < *record.survivedAt + rules.refusal)
+            newest.emplace_back(*record.survivedAt, fingerprint);
+    }
+    std::ranges::sort(newest, std::greater{});
+    newest.resize(std::min(newest.size(), maximum));
+    std::vector<CrashReport> reports;
+    for (const auto &[when, fingerprint] : newest) {
+        const CrashRecord &record = memory.records.at(fingerprint);
+        if (record.servers.empty()) {
+            reports.push_back({{fingerprint, {}, 0}, now - when});
+            continue;
+        }
+        const auto servers = static_cast<std::int64_t>(record.servers.size());
+        const std::int64_t share = (record.attributedLoss + servers - 1) / servers;
+        const std::int64_t needed =
+            std::max<std::int64_t>(rules.serverLimit, (wholeServer + share - 1) / share);
+        for (std::int64_t index = 0; index < std::min(needed, servers); ++index) {
+            const ServerId &server = record.servers[static_cast<std::size_t>(index)];
+            reports.push_back({{fingerprint, server, share}, now - when});
+        }
+    }
+    return reports;
+}
+
+bool noteReport(CrashMemory &memory, const CrashReport &report, TimePoint now)
+{
+    const TimePoint when = now - report.age;
+    if (!report.hasSurvived())
+        return noteLoss(memory, report.loss, when);
+    clear(memory.records[report.loss.fingerprint], when);
+    return false;
+}
+
+Duration refusalLeft(const CrashMemory &memory, Fingerprint fingerprint, TimePoint now,
+                     const CrashRules &rules)
+{
+    const auto found = memory.records.find(fingerprint);
+    if (found == memory.records.end())
+        return {};
+    return std::max(Duration{}, found->second.lastLoss + rules.refusal - now);
 }
 
-int countSuspectedFingerprints(const CrashMemory &memory, TimePoint now, const Policy &policy)
+int countSuspectedFingerprints(const CrashMemory &memory, TimePoint now, const CrashRules &rules)
 {
     return static_cast<int>(std::ranges::count_if(
-        memory.records, [&](const auto &entry) { return isSuspected(entry.second, now, policy); }));
+        memory.records, [&](const auto &entry) { return isSuspected(entry.second, now, rules); }));
 }
 
-void expireCrashRecords(CrashMemory &memory, TimePoint now, const Policy &policy)
+void expireCrashRecords(CrashMemory &memory, TimePoint now, const CrashRules &rules)
 {
     if (now < memory.lastCleanUp + cleanUpPeriod)
         return;
     memory.lastCleanUp = now;
     std::erase_if(memory.records, [&](const auto &entry) {
-        return !isSuspected(entry.second, now, policy) && now >= entry.second.harmlessUntil;
+        const CrashRecord &record = entry.second;
+        return !isSuspected(record, now, rules) && now >= record.harmlessUntil
+               && (!record.survivedAt || now >= *record.survivedAt + rules.refusal);
     });
 }
 
--- a/modules/decisions/tests/request/CrashAndRequestMemoryPropertyTest.cpp
+++ b/modules/decisions/tests/request/CrashAndRequestMemoryPropertyTest.cpp
@@ -136,8 +136,9 @@
         const TimePoint now{elapsed};
         if (elapsed > seconds(10) + policy.crashRefusal)
             break;
-        expireCrashRecords(memory, now, policy);
-        const DispatchDecision decision = decideDispatch(memory, crashingQuery, now, policy);
+        expireCrashRecords(memory, now, crashRulesOf(policy));
+        const DispatchDecision decision =
+            decideDispatch(memory, crashingQuery, now, crashRulesOf(policy));
         RC_ASSERT(decision != DispatchDecision::SendToAll);
         if (decision == DispatchDecision::Refuse)
             continue;
@@ -164,13 +165,13 @@
     std::vector<Fingerprint> inFlight;
     for (std::uint64_t number = 1; number <= queries; ++number) {
         inFlight.emplace_back(number);
-        noteHarmless(memory, Fingerprint(number), now, policy);
+        noteHarmless(memory, Fingerprint(number), now, crashRulesOf(policy));
     }
     const auto servers = *rc::gen::inRange(1, 20);
     for (int server = 0; server < servers; ++server)
         noteServerLost(memory, numberedServer(server), inFlight, now + milliseconds(server));
     for (const Fingerprint fingerprint : inFlight) {
-        RC_ASSERT(decideDispatch(memory, fingerprint, now + milliseconds(30), policy)
+        RC_ASSERT(decideDispatch(memory, fingerprint, now + milliseconds(30), crashRulesOf(policy))
                   != DispatchDecision::Refuse);
     }
 }
--- a/modules/gateway/include/oleander/gateway/Attempt.h
+++ b/modules/gateway/include/oleander/gateway/Attempt.h
@@ -3,6 +3,7 @@
 #include <oleander/core/Ids.h>
 #include <oleander/core/Units.h>
 #include <oleander/decisions/request/LatencyWindow.h>
+#include <oleander/gateway/CrashGuard.h>
 #include <oleander/gateway/HttpMessage.h>
 #include <oleander/gateway/Route.h>
 
@@ -38,6 +39,8 @@
     std::shared_ptr<const CallerRequest> request;
     Idempotency idempotency = Idempotency::NonIdempotent;
     int priority = 0;
+    /// Evidence of whether the request crashes servers.
+    std::shared_ptr<CrashTrial> trial;
     /// Deadline of the server's reply; nothing is sent after it.
     TimePoint deadline{};
     /// Typical latency of requests of this kind.
--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -21,6 +21,7 @@
     TimerService &timer;
     EventLog &log;
     const GatewayPolicy &policy;
+    CrashGuard &crashes;
 };
 
 /// The connections to one server, the attempts that wait for a connection, and the health
@@ -84,10 +85,15 @@
     Connection *idleConnection(const Attempt &attempt);
     void openConnectionIfNeeded();
     void expireWaiting();
-    void onOpened();
+    void onOpened(const Connection &connection);
     void onReply(Connection &connection, ServerReply reply, bool isReusable);
-    void onClosed(Connection &connection, bool wasOpened);
+    void onClosed(Connection &connection, LinkEnd end);
+    /// Checks on a new connection whether the server, which closed one under a request, has ended.
+    void checkEnded(const AttemptPtr &attempt);
+    void onChecked(bool hasEnded);
     void failWaiting();
+    /// Ends an attempt whose result nobody needs.
+    void drop(const AttemptPtr &attempt);
     void finish(const AttemptPtr &attempt, AttemptResult result);
     void recordResult(const Attempt &attempt, const AttemptResult &result);
     /// Removes the connection from the list and returns it, or null if it is no longer listed.
@@ -104,6 +110,10 @@
     bool m_isAddressReused = false;
     std::vector<std::unique_ptr<Connection>> m_connections;
     std::deque<AttemptPtr> m_waiting;
+    /// Trials of the requests under which the server closed its connections, until it is known
+    /// whether it has ended, and the time of the last of these closings.
+    std::vector<std::shared_ptr<CrashTrial>> m_unverified;
+    TimePoint m_lastClosedAt{};
 };
 
 } // namespace oleander::gateway
--- /dev/null
+++ b/modules/gateway/include/oleander/gateway/CrashGuard.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <oleander/decisions/request/CrashMemory.h>
+#include <oleander/gateway/HttpMessage.h>
+#include <oleander/ports/EventLog.h>
+#include <oleander/ports/TimerService.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace oleander::gateway {
+
+/// Hash of what a request asks for: method, host, target and body. Requests that callers repeat
+/// have equal fingerprints, although each attempt has an id of its own.
+[[nodiscard]] Fingerprint fingerprintOf(const CallerRequest &request);
+
+/// All attempts in progress of requests with one fingerprint, as evidence of whether the request
+/// crashes servers.
+struct CrashTrial
+{
+    Fingerprint fingerprint;
+    /// Attempts that servers hold or wait for.
+    int inFlight = 0;
+    /// Servers that closed the connection under an attempt, and may have ended.
+    int unverified = 0;
+    TimePoint lastClosedAt{};
+    /// A server executed the request and replied.
+    bool hasSurvivor = false;
+    /// The first server that ended since the request was last sent. Those that ended with it were
+    /// sent the request before its loss was known, and count as one loss.
+    std::optional<AttributedLoss> loss;
+    /// Called once when the evidence changes.
+    std::vector<std::function<void()>> waiting;
+};
+
+/// Whether a request may be sent to a server, or to one server more.
+enum class SendDecision {
+    Send,
+    /// To a server that executes nothing else, if there is one.
+    SendAlone,
+    /// An attempt in progress will show whether the request crashes servers.
+    Wait,
+    /// Servers were lost while they executed it.
+    Refuse,
+};
+
+/// Keeps requests that crash each server that executes them away from servers.
+///
+/// A server is lost when it closes the connection under a request and then accepts no new one. Its
+/// loss is attributed to all requests that it held, in equal shares, except those that another
+/// server has survived. A request with a loss is sent to one server alone, until one survives it or
+/// the limit of lost servers is reached; then it is refused. What instances attribute to a request
+/// is exchanged between them.
+class CrashGuard
+{
+public:
+    /// All arguments must outlive the guard.
+    CrashGuard(TimerService &timer, EventLog &log, const CrashRules &rules);
+    CrashGuard(const CrashGuard &) = delete;
+    CrashGuard &operator=(const CrashGuard &) = delete;
+
+    // Requests
+    /// The trial of the request, which requests with the same fingerprint share.
+    [[nodiscard]] std::shared_ptr<CrashTrial> trialOf(const CallerRequest &request);
+    [[nodiscard]] SendDecision decide(const CrashTrial &trial) const;
+    /// Time until a refused request may be sent again; zero for all others.
+    [[nodiscard]] Duration refusalLeft(const CrashTrial &trial) const;
+
+    // Attempts
+    void onSubmitted(CrashTrial &trial) { ++trial.inFlight; }
+    /// A server executed the request and replied.
+    void onSurvived(CrashTrial &trial);
+    /// The server closed the connection. onServerChecked() follows.
+    void onConnectionClosed(CrashTrial &trial);
+    /// The attempt ended otherwise, which shows nothing.
+    void onEnded(CrashTrial &trial);
+    /// Called with the trials of all attempts under which the server closed its connections, when
+    /// it is known whether the server has ended.
+    void onServerChecked(const std::vector<std::shared_ptr<CrashTrial>> &trials,
+                         const ServerId &server, bool hasEnded);
+
+    // Exchange with other instances
+    /// `listener` is called when other instances should be told what this one knows. By then most
+    /// requests that only shared a server with another one have been cleared.
+    void setListener(std::function<void()> listener) { m_listener = std::move(listener); }
+    [[nodiscard]] std::vector<CrashReport> reports() const;
+    /// Calls the listener, too, if a loss was new.
+    void onReports(const std::vector<CrashReport> &reports);
+
+    /// Number of requests that are suspected or refused.
+    [[nodiscard]] int suspectedRequests() const;
+
+private:
+    using Trials = std::unordered_map<Fingerprint, std::weak_ptr<CrashTrial>>;
+
+    void attributeIfDone(CrashTrial &trial);
+    void announceSoon();
+    /// Calls those that wait for the trial, after the current event has been handled.
+    void notify(CrashTrial &trial);
+
+    TimerService &m_timer;
+    EventLog &m_log;
+    const CrashRules &m_rules;
+    CrashMemory m_memory;
+    /// Trials remove themselves, also after the guard has gone.
+    std::shared_ptr<Trials> m_trials = std::make_shared<Trials>();
+    std::function<void()> m_listener;
+    bool m_isAnnouncing = false;
+    Subscription m_announcement;
+};
+
+} // namespace oleander::gateway
--- a/modules/gateway/include/oleander/gateway/GatewayPolicy.h
+++ b/modules/gateway/include/oleander/gateway/GatewayPolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <oleander/core/Units.h>
+#include <oleander/decisions/request/CrashMemory.h>
 #include <oleander/gateway/ExtraBudget.h>
 
 #include <optional>
@@ -51,6 +52,9 @@
     /// loses power.
     Duration onDemandIdleLimit = seconds(2);
     ExtraBudgetRules extraAttempts;
+    /// Requests that crash servers. All are sent to all shards at once at first: a canary would
+    /// delay each by the time of one server.
+    CrashRules crashes{.canary = false, .refusal = seconds(600)};
     /// Extra attempts that all instances together may send to a service in any window, regardless
     /// of the number of first attempts.
     double fleetExtraAllowance = 0;
--- a/modules/gateway/include/oleander/gateway/ServerFleet.h
+++ b/modules/gateway/include/oleander/gateway/ServerFleet.h
@@ -82,6 +82,8 @@
     BackendServer *choose(ServicePool &pool, const std::vector<BackendServer *> &excluded,
                           Duration usualLatency);
     [[nodiscard]] std::size_t connections() const;
+    [[nodiscard]] CrashGuard &crashGuard() { return m_crashGuard; }
+    [[nodiscard]] const CrashGuard &crashGuard() const { return m_crashGuard; }
     /// Takes one extra attempt from the service's budget; false when it is exhausted.
     bool takeExtra(ServicePool &pool, ExtraAttemptKind kind);
     [[nodiscard]] std::uint64_t drawRandom() { return m_random.next(); }
@@ -109,6 +111,7 @@
     candidatesAmong(const std::vector<BackendServer *> &servers,
                     const std::vector<BackendServer *> &excluded, Duration usualLatency) const;
 
+    CrashGuard m_crashGuard;
     ServerContext m_context;
     RandomSource &m_random;
     const GatewayPolicy &m_policy;
--- a/modules/gateway/include/oleander/gateway/ServerLink.h
+++ b/modules/gateway/include/oleander/gateway/ServerLink.h
@@ -19,6 +19,16 @@
     Duration timeLeft{};
 };
 
+/// How a link ended.
+enum class LinkEnd {
+    /// No connection came about.
+    NotOpened,
+    /// The server closed the connection before it sent any byte of a reply to the last request.
+    ClosedByServer,
+    /// What the server sent is no reply, it sent a part of one, or it fell silent.
+    Unusable,
+};
+
 /// Receives the events of a link. Never called synchronously from the link's own functions.
 class ServerLinkListener
 {
@@ -30,7 +40,7 @@
     /// and closes itself otherwise.
     virtual void onReply(ServerReply reply, bool isReusable) = 0;
     /// Called when the connection failed or ended; at most once, and as the last event.
-    virtual void onClosed(bool wasOpened) = 0;
+    virtual void onClosed(LinkEnd end) = 0;
 };
 
 /// One connection to a server; carries one request at a time. Destroying it closes the connection,
--- a/modules/gateway/include/oleander/gateway/ServiceCall.h
+++ b/modules/gateway/include/oleander/gateway/ServiceCall.h
@@ -15,6 +15,8 @@
 struct ServiceCallPlan
 {
     std::shared_ptr<const CallerRequest> request;
+    /// Evidence of whether the request crashes servers, shared by all calls of the request.
+    std::shared_ptr<CrashTrial> trial;
     ServicePool *pool = nullptr;
     Idempotency idempotency = Idempotency::NonIdempotent;
     int priority = 0;
@@ -80,6 +82,7 @@
     /// Returns true if the server is expected to answer in time. A hedge that would be late only
     /// occupies the server.
     [[nodiscard]] bool isWorthHedging(const BackendServer &server) const;
+    BackendServer *chooseServer(bool mayReuseTried, bool isAlone);
     void sendTo(BackendServer &server);
     void hedge();
     void scheduleHedge();
@@ -87,6 +90,8 @@
     void onReplied(AttemptResult result);
     void retryOrFinish();
     void retryLater();
+    /// Sends again as soon as it is known whether the request crashes servers.
+    void awaitVerdict();
     [[nodiscard]] bool maySend() const;
     /// Servers that must not get the request: those that have it now, and once `maximumAttempts`
     /// servers may have executed it, all servers except those.
@@ -103,6 +108,7 @@
     /// Servers that may have executed the request.
     std::vector<BackendServer *> m_possibleExecutors;
     int m_retries = 0;
+    bool m_isAwaitingVerdict = false;
     std::optional<ServerReply> m_failureReply;
     int m_sentCount = 0;
     bool m_wasSent = false;
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -53,13 +53,13 @@
     {
         m_isOpen = true;
         m_idleSince = m_owner.m_context.timer.now();
-        m_owner.onOpened();
+        m_owner.onOpened(*this);
     }
     void onReply(ServerReply reply, bool isReusable) override
     {
         m_owner.onReply(*this, std::move(reply), isReusable);
     }
-    void onClosed(bool wasOpened) override { m_owner.onClosed(*this, wasOpened); }
+    void onClosed(LinkEnd end) override { m_owner.onClosed(*this, end); }
 
     BackendServer &m_owner;
     TimePoint m_openedAt;
@@ -138,6 +138,7 @@
 {
     m_isRetired = true;
     failWaiting();
+    onChecked(false);
     std::erase_if(m_connections, [](const auto &connection) { return !connection->current(); });
 }
 
@@ -149,6 +150,7 @@
 void BackendServer::submit(const AttemptPtr &attempt)
 {
     attempt->server = this;
+    m_context.crashes.onSubmitted(*attempt->trial);
     if (Connection *idle = idleConnection(*attempt)) {
         idle->send(attempt);
         return;
@@ -163,7 +165,7 @@
 
 void BackendServer::cancel(const AttemptPtr &attempt)
 {
-    attempt->onFinished = nullptr;
+    drop(attempt);
     std::erase(m_waiting, attempt);
     const auto carrier =
         std::ranges::find(m_connections, attempt, [](const auto &connection) -> const AttemptPtr & {
@@ -200,10 +202,10 @@
         return false;
     });
     for (Connection *connection : unopened)
-        onClosed(*connection, false);
+        onClosed(*connection, LinkEnd::NotOpened);
     for (Connection *connection : unresponsive) {
         m_context.log.record(EventId::ServerSilent, {}, {{"server", m_registration.id.text()}});
-        onClosed(*connection, true);
+        onClosed(*connection, LinkEnd::Unusable);
     }
     expireWaiting();
     sendWaiting();
@@ -214,7 +216,9 @@
     const TimePoint now = m_context.timer.now();
     std::vector<AttemptPtr> overdue;
     std::erase_if(m_waiting, [&](const AttemptPtr &attempt) {
-        if (attempt->isWanted() && now > attempt->deadline)
+        if (!attempt->isWanted())
+            drop(attempt);
+        else if (now > attempt->deadline)
             overdue.push_back(attempt);
         return !attempt->isWanted() || now > attempt->deadline;
     });
@@ -274,6 +278,7 @@
         const AttemptPtr next = m_waiting.front();
         if (!next->isWanted()) {
             m_waiting.pop_front();
+            drop(next);
             continue;
         }
         if (now > next->deadline) {
@@ -290,9 +295,11 @@
     openConnectionIfNeeded();
 }
 
-void BackendServer::onOpened()
+void BackendServer::onOpened(const Connection &connection)
 {
     noteConnected(m_score);
+    if (connection.openedAt() >= m_lastClosedAt)
+        onChecked(false);
     sendWaiting();
 }
 
@@ -310,7 +317,7 @@
     sendWaiting();
 }
 
-void BackendServer::onClosed(Connection &connection, bool wasOpened)
+void BackendServer::onClosed(Connection &connection, LinkEnd end)
 {
     const auto closed = detach(connection);
     if (!closed)
@@ -318,10 +325,15 @@
     const AttemptPtr attempt = closed->takeCurrent();
     if (attempt) {
         m_context.log.record(EventId::ServerConnectionLost, attempt->request->id,
-                             {{"server", m_registration.id.text()}});
+                             {{"server", m_registration.id.text()},
+                              {"fingerprint", attempt->trial->fingerprint.value()},
+                              {"isClosedByServer", end == LinkEnd::ClosedByServer}});
+        if (end == LinkEnd::ClosedByServer)
+            checkEnded(attempt);
         finish(attempt, {AttemptOutcome::Lost, {}});
     }
-    if (!wasOpened) {
+    if (end == LinkEnd::NotOpened) {
+        onChecked(true);
         const Duration ejectionTime = noteConnectFailure(m_score, m_context.timer.now());
         m_context.log.record(EventId::ServerEjected, {},
                              {{"server", m_registration.id.text()},
@@ -336,6 +348,37 @@
     sendWaiting();
 }
 
+void BackendServer::checkEnded(const AttemptPtr &attempt)
+{
+    const auto trial = std::exchange(attempt->trial, nullptr);
+    m_context.crashes.onConnectionClosed(*trial);
+    m_unverified.push_back(trial);
+    const TimePoint now = m_context.timer.now();
+    m_lastClosedAt = now;
+    if (m_isRetired) {
+        onChecked(false);
+        return;
+    }
+    const bool isChecking = std::ranges::any_of(m_connections, [now](const auto &connection) {
+        return !connection->isOpen() && connection->openedAt() == now;
+    });
+    if (!isChecking)
+        openConnection();
+}
+
+void BackendServer::onChecked(bool hasEnded)
+{
+    m_context.crashes.onServerChecked(std::exchange(m_unverified, {}), m_registration.id, hasEnded);
+}
+
+void BackendServer::drop(const AttemptPtr &attempt)
+{
+    attempt->onFinished = nullptr;
+    attempt->server = nullptr;
+    if (const auto trial = std::exchange(attempt->trial, nullptr))
+        m_context.crashes.onEnded(*trial);
+}
+
 void BackendServer::failWaiting()
 {
     for (const AttemptPtr &attempt : std::exchange(m_waiting, {}))
@@ -346,6 +389,12 @@
 {
     recordResult(*attempt, result);
     attempt->server = nullptr;
+    if (const auto trial = std::exchange(attempt->trial, nullptr)) {
+        if (result.outcome == AttemptOutcome::Replied)
+            m_context.crashes.onSurvived(*trial);
+        else
+            m_context.crashes.onEnded(*trial);
+    }
     const auto onFinished = std::exchange(attempt->onFinished, nullptr);
     if (onFinished)
         onFinished(std::move(result));
--- a/modules/gateway/src/CallBase.cpp
+++ b/modules/gateway/src/CallBase.cpp
@@ -46,6 +46,7 @@
     , m_request(std::move(request))
     , m_terms(std::move(terms))
     , m_route(*m_terms.route)
+    , m_trial(gateway.m_fleet.crashGuard().trialOf(*m_request))
     , m_latencies(gateway.routeState(m_route.id).latencies)
     , m_deadline(m_terms.deadline)
     , m_answer(std::move(answer))
@@ -115,7 +116,8 @@
                                    {"configuration", m_terms.configuration.value()},
                                    {"afterMs", inMilliseconds(age())}});
     answer({statusUnavailable,
-            {retryAfterField(m_gateway.m_policy.retryAfter)},
+            {retryAfterField(std::max(m_gateway.m_policy.retryAfter,
+                                      m_gateway.m_fleet.crashGuard().refusalLeft(*m_trial)))},
             "not run: " + std::string(cause) + "\n"});
 }
 
@@ -127,6 +129,15 @@
     });
 }
 
+bool CallBase::refuseIfCrashing()
+{
+    if (m_gateway.m_fleet.crashGuard().decide(*m_trial) != SendDecision::Refuse)
+        return false;
+    record(EventId::CrashRefusal, {{"fingerprint", m_trial->fingerprint.value()}});
+    refuseLater("servers were lost while they executed this request");
+    return true;
+}
+
 void CallBase::fail(int status, std::string_view cause)
 {
     ++m_gateway.m_counts.failed;
@@ -146,6 +157,7 @@
     const Duration assumedLatency = m_route.objective / assumedObjectiveFraction;
     ServiceCallPlan plan;
     plan.request = m_request;
+    plan.trial = m_trial;
     plan.pool = &m_gateway.m_fleet.pool(service);
     plan.idempotency = m_route.idempotency;
     plan.priority = m_route.priority;
--- a/modules/gateway/src/Calls.h
+++ b/modules/gateway/src/Calls.h
@@ -78,6 +78,8 @@
     void refuse(std::string_view cause);
     /// Refuses after the current event has been handled. `cause` must be a string literal.
     void refuseLater(std::string_view cause);
+    /// Returns true if servers were lost while they executed the request, and refuses it then.
+    bool refuseIfCrashing();
     /// Ends the call without a result, although a server may have executed the request.
     void fail(int status, std::string_view cause);
     [[nodiscard]] bool isAnswered() const { return !m_answer; }
@@ -96,6 +98,7 @@
 
 protected:
     const Route &m_route;
+    std::shared_ptr<CrashTrial> m_trial;
     std::shared_ptr<LatencyWindow> m_latencies;
     TimePoint m_deadline;
 
--- /dev/null
+++ b/modules/gateway/src/CrashGuard.cpp
@@ -0,0 +1,178 @@
+#include <oleander/gateway/CrashGuard.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace oleander::gateway {
+
+namespace {
+
+/// A server that has not accepted or refused a connection after this time holds up no retries.
+constexpr Duration checkTime = milliseconds(50);
+/// Time in which an execution that a server survives clears most requests.
+constexpr Duration announcementDelay = milliseconds(100);
+/// Suspected requests that are told to other instances, which bounds the message.
+constexpr std::size_t maximumReported = 12;
+
+} // namespace
+
+Fingerprint fingerprintOf(const CallerRequest &request)
+{
+    XXH64_hash_t hash = 0;
+    for (const std::string *part :
+         {&request.method, &request.host, &request.target, &request.body}) {
+        const std::size_t size = part->size();
+        hash = XXH3_64bits_withSeed(&size, sizeof size, hash);
+        hash = XXH3_64bits_withSeed(part->data(), size, hash);
+    }
+    return Fingerprint(hash);
+}
+
+CrashGuard::CrashGuard(TimerService &timer, EventLog &log, const CrashRules &rules)
+    : m_timer(timer)
+    , m_log(log)
+    , m_rules(rules)
+{
+}
+
+std::shared_ptr<CrashTrial> CrashGuard::trialOf(const CallerRequest &request)
+{
+    const Fingerprint fingerprint = fingerprintOf(request);
+    auto &held = (*m_trials)[fingerprint];
+    if (auto trial = held.lock())
+        return trial;
+    auto owned = std::make_unique<CrashTrial>();
+    owned->fingerprint = fingerprint;
+    std::shared_ptr<CrashTrial> trial(owned.release(),
+                                      [trials = std::weak_ptr(m_trials)](CrashTrial *ended) {
+                                          if (const auto all = trials.lock())
+                                              all->erase(ended->fingerprint);
+                                          delete ended;
+                                      });
+    held = trial;
+    return trial;
+}
+
+SendDecision CrashGuard::decide(const CrashTrial &trial) const
+{
+    if (trial.hasSurvivor)
+        return SendDecision::Send;
+    const TimePoint now = m_timer.now();
+    const bool isChecking = trial.unverified > 0 && now < trial.lastClosedAt + checkTime;
+    switch (decideDispatch(m_memory, trial.fingerprint, now, m_rules)) {
+    case DispatchDecision::Refuse:
+        return SendDecision::Refuse;
+    case DispatchDecision::CanaryFirst:
+    case DispatchDecision::CanaryAlone:
+        return trial.inFlight > 0 || isChecking ? SendDecision::Wait : SendDecision::SendAlone;
+    case DispatchDecision::SendToAll:
+        break;
+    }
+    return isChecking || trial.loss ? SendDecision::Wait : SendDecision::Send;
+}
+
+Duration CrashGuard::refusalLeft(const CrashTrial &trial) const
+{
+    if (decide(trial) != SendDecision::Refuse)
+        return {};
+    return oleander::refusalLeft(m_memory, trial.fingerprint, m_timer.now(), m_rules);
+}
+
+void CrashGuard::onSurvived(CrashTrial &trial)
+{
+    --trial.inFlight;
+    trial.loss.reset();
+    if (std::exchange(trial.hasSurvivor, true))
+        return;
+    noteSurvived(m_memory, trial.fingerprint, m_timer.now());
+    notify(trial);
+}
+
+void CrashGuard::onConnectionClosed(CrashTrial &trial)
+{
+    --trial.inFlight;
+    ++trial.unverified;
+    trial.lastClosedAt = m_timer.now();
+}
+
+void CrashGuard::onEnded(CrashTrial &trial)
+{
+    --trial.inFlight;
+    attributeIfDone(trial);
+    notify(trial);
+}
+
+void CrashGuard::onServerChecked(const std::vector<std::shared_ptr<CrashTrial>> &trials,
+                                 const ServerId &server, bool hasEnded)
+{
+    std::set<Fingerprint> suspects;
+    for (const auto &trial : trials)
+        suspects.insert(trial->fingerprint);
+    const auto count = static_cast<std::int64_t>(suspects.size());
+    for (const auto &trial : trials) {
+        --trial->unverified;
+        if (hasEnded && !trial->hasSurvivor && !trial->loss)
+            trial->loss = {trial->fingerprint, server, (wholeServer + count - 1) / count};
+        attributeIfDone(*trial);
+        notify(*trial);
+    }
+}
+
+std::vector<CrashReport> CrashGuard::reports() const
+{
+    return crashReports(m_memory, m_timer.now(), m_rules, maximumReported);
+}
+
+void CrashGuard::onReports(const std::vector<CrashReport> &reports)
+{
+    const TimePoint now = m_timer.now();
+    bool isAnyNew = false;
+    for (const CrashReport &report : reports)
+        isAnyNew = noteReport(m_memory, report, now) || isAnyNew;
+    expireCrashRecords(m_memory, now, m_rules);
+    if (isAnyNew)
+        announceSoon();
+}
+
+int CrashGuard::suspectedRequests() const
+{
+    return countSuspectedFingerprints(m_memory, m_timer.now(), m_rules);
+}
+
+void CrashGuard::attributeIfDone(CrashTrial &trial)
+{
+    if (!trial.loss || trial.inFlight > 0 || trial.unverified > 0)
+        return;
+    const AttributedLoss loss = *std::exchange(trial.loss, std::nullopt);
+    const TimePoint now = m_timer.now();
+    expireCrashRecords(m_memory, now, m_rules);
+    if (!noteLoss(m_memory, loss, now))
+        return;
+    m_log.record(EventId::CrashSuspicion, {},
+                 {{"fingerprint", loss.fingerprint.value()},
+                  {"server", loss.server.text()},
+                  {"shareOfServer", static_cast<double>(loss.share) / wholeServer}});
+    announceSoon();
+}
+
+void CrashGuard::announceSoon()
+{
+    if (std::exchange(m_isAnnouncing, true))
+        return;
+    m_announcement = m_timer.callAfter(announcementDelay, [this](const TimerTick &) {
+        m_isAnnouncing = false;
+        if (m_listener)
+            m_listener();
+    });
+}
+
+void CrashGuard::notify(CrashTrial &trial)
+{
+    for (auto &callback : std::exchange(trial.waiting, {}))
+        m_timer.post(std::move(callback));
+}
+
+} // namespace oleander::gateway
--- a/modules/gateway/src/DelegatedGatherCall.cpp
+++ b/modules/gateway/src/DelegatedGatherCall.cpp
@@ -38,7 +38,8 @@
 
 void DelegatedGatherCall::begin()
 {
-    tryNext();
+    if (!refuseIfCrashing())
+        tryNext();
 }
 
 void DelegatedGatherCall::tryNext()
--- a/modules/gateway/src/ForwardCall.cpp
+++ b/modules/gateway/src/ForwardCall.cpp
@@ -15,6 +15,8 @@
 
 void ForwardCall::begin()
 {
+    if (refuseIfCrashing())
+        return;
     const ServiceId &service = chooseService();
     const ServiceCallPlan plan =
         planFor(service, std::min(m_deadline, m_request->arrived + m_route.objective));
--- a/modules/gateway/src/GatherCall.cpp
+++ b/modules/gateway/src/GatherCall.cpp
@@ -49,6 +49,8 @@
 
 void GatherCall::begin()
 {
+    if (refuseIfCrashing())
+        return;
     if (!terms().isForSomeShards() && !isAnyShardReachable(m_requiredShards)) {
         refuseLater("too many shards without a server");
         return;
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -45,7 +45,8 @@
 
 ServerFleet::ServerFleet(ServerLinkFactory &links, TimerService &timer, RandomSource &random,
                          EventLog &log, const GatewayPolicy &policy, DataCentreId dataCentre)
-    : m_context{links, timer, log, policy}
+    : m_crashGuard(timer, log, policy.crashes)
+    , m_context{links, timer, log, policy, m_crashGuard}
     , m_random(random)
     , m_policy(policy)
     , m_dataCentre(std::move(dataCentre))
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -94,8 +94,12 @@
 {
     if (!maySend())
         return false;
-    BackendServer *server =
-        m_fleet.choose(*m_plan.pool, excludedServers(mayReuseTried), m_plan.usualLatency);
+    const SendDecision decision = m_fleet.crashGuard().decide(*m_plan.trial);
+    if (decision == SendDecision::Wait)
+        awaitVerdict();
+    if (decision == SendDecision::Wait || decision == SendDecision::Refuse)
+        return false;
+    BackendServer *server = chooseServer(mayReuseTried, decision == SendDecision::SendAlone);
     if (!server)
         return false;
     const bool isExtra = m_plan.isRerun || m_wasSent || !m_running.empty();
@@ -109,6 +113,19 @@
     return true;
 }
 
+BackendServer *ServiceCall::chooseServer(bool mayReuseTried, bool isAlone)
+{
+    const std::vector<BackendServer *> excluded = excludedServers(mayReuseTried);
+    if (isAlone) {
+        std::vector<BackendServer *> busy = excluded;
+        std::ranges::copy_if(m_plan.pool->servers, std::back_inserter(busy),
+                             [](const BackendServer *server) { return server->inFlight() > 0; });
+        if (BackendServer *idle = m_fleet.choose(*m_plan.pool, busy, m_plan.usualLatency))
+            return idle;
+    }
+    return m_fleet.choose(*m_plan.pool, excluded, m_plan.usualLatency);
+}
+
 bool ServiceCall::isWorthHedging(const BackendServer &server) const
 {
     const TimePoint now = m_timer.now();
@@ -128,6 +145,7 @@
     attempt->request = m_plan.request;
     attempt->idempotency = m_plan.idempotency;
     attempt->priority = m_plan.priority;
+    attempt->trial = m_plan.trial;
     attempt->deadline = m_plan.deadline;
     attempt->usualLatency = m_plan.usualLatency;
     attempt->latencies = m_plan.latencies;
@@ -223,8 +241,9 @@
 {
     if (!m_done)
         return;
+    const bool isRefused = m_fleet.crashGuard().decide(*m_plan.trial) == SendDecision::Refuse;
     const Duration wait = backoffDelay(++m_retries, m_plan.retryDelays, m_fleet.drawRandom());
-    if (!m_plan.pool->hasUsableServer() || m_timer.now() + wait > m_plan.retryUntil) {
+    if (isRefused || !m_plan.pool->hasUsableServer() || m_timer.now() + wait > m_plan.retryUntil) {
         finish();
         return;
     }
@@ -236,6 +255,25 @@
     });
 }
 
+void ServiceCall::awaitVerdict()
+{
+    if (std::exchange(m_isAwaitingVerdict, true))
+        return;
+    m_plan.trial->waiting.push_back([self = weak_from_this()] {
+        const auto call = self.lock();
+        if (!call)
+            return;
+        call->m_isAwaitingVerdict = false;
+        if (!call->m_done || !call->m_running.empty())
+            return;
+        call->m_retryTimer.reset();
+        if (call->sendNext(true))
+            call->scheduleHedge();
+        else
+            call->retryLater();
+    });
+}
+
 void ServiceCall::finish()
 {
     if (m_failureReply)
--- a/modules/gateway/tests/CoordinatorTest.cpp
+++ b/modules/gateway/tests/CoordinatorTest.cpp
@@ -237,6 +237,34 @@
     EXPECT_EQ(second->answer->status, 200);
 }
 
+// Guards against a request that crashes servers and is handed to coordinators each time it comes.
+TEST_F(CoordinatedFleet, CrashingRequestIsRefusedByEntriesAndCoordinators)
+{
+    servers.isCrashing = [](const CallerRequest &) { return true; };
+    for (const auto &instance : instances) {
+        CrashGuard &guard = instance->local.fleet.crashGuard();
+        guard.setListener([this, &guard] {
+            for (const auto &other : instances)
+                other->local.fleet.crashGuard().onReports(guard.reports());
+        });
+    }
+    const auto first = send(0, "r1");
+    scheduler.runFor(seconds(4));
+    ASSERT_TRUE(first->answer);
+    EXPECT_EQ(first->answer->status, 502) << "servers may have executed it";
+    const int before = servers.crashes();
+    EXPECT_LE(before, shardCount + 2);
+    const std::uint64_t calls = mesh.calls();
+    for (int number = 0; number < 6; ++number) {
+        const auto repeated = send(number % entryCount, "r" + std::to_string(number + 2));
+        scheduler.runFor(seconds(1));
+        ASSERT_TRUE(repeated->answer);
+        EXPECT_EQ(repeated->answer->status, 503);
+    }
+    EXPECT_EQ(servers.crashes(), before);
+    EXPECT_EQ(mesh.calls(), calls) << "refused by the entry itself";
+}
+
 TEST_F(CoordinatedFleet, AKilledCoordinatorIsReplacedWithinTheObjective)
 {
     const auto received = send(0);
--- a/modules/gateway/tests/support/SimulatedServers.cpp
+++ b/modules/gateway/tests/support/SimulatedServers.cpp
@@ -124,7 +124,8 @@
             if (!state || !state->listener)
                 return;
             state->work.reset();
-            std::exchange(state->listener, nullptr)->onClosed(state->isOpen);
+            std::exchange(state->listener, nullptr)
+                ->onClosed(state->isOpen ? LinkEnd::ClosedByServer : LinkEnd::NotOpened);
         });
     }
 }
@@ -146,7 +147,7 @@
         const bool isBeyondCap = server.counters.connections > server.behaviour.connectionCap;
         server.counters.connectionsRefused += isBeyondCap ? 1 : 0;
         if (server.behaviour.isDown || isBeyondCap) {
-            std::exchange(state->listener, nullptr)->onClosed(false);
+            std::exchange(state->listener, nullptr)->onClosed(LinkEnd::NotOpened);
             return;
         }
         state->isOpen = true;
@@ -208,6 +209,10 @@
         server.running.push_back(work);
         ++server.counters.executed;
         server.counters.executedIds.push_back(work->request->id.text());
+        if (isCrashing && isCrashing(*work->request)) {
+            crashAndRestart(server);
+            return;
+        }
         const Duration usualTime = executionTime(*work->request, m_random);
         const auto executionDuration =
             std::chrono::duration_cast<Duration>(usualTime * server.behaviour.slowdown);
@@ -217,6 +222,14 @@
     }
 }
 
+void SimulatedServers::crashAndRestart(Server &server)
+{
+    ++m_crashes;
+    crash(server.address);
+    m_scheduler.schedule(m_scheduler.now() + crashDownTime,
+                         [&server] { server.behaviour.isDown = false; });
+}
+
 void SimulatedServers::finish(Server &server, const std::shared_ptr<Work> &work)
 {
     const TimePoint now = m_scheduler.now();
@@ -242,7 +255,7 @@
         m_scheduler.schedule(now + oneWayDelay, [work] {
             work->link->work.reset();
             if (work->link->listener)
-                std::exchange(work->link->listener, nullptr)->onClosed(true);
+                std::exchange(work->link->listener, nullptr)->onClosed(LinkEnd::ClosedByServer);
         });
     } else {
         reply(work, std::move(answer));
--- a/modules/gateway/tests/support/SimulatedServers.h
+++ b/modules/gateway/tests/support/SimulatedServers.h
@@ -78,6 +78,11 @@
     std::function<std::string(const CallerRequest &, const Address &)> makeBody =
         [](const CallerRequest &, const Address &) { return std::string("body"); };
 
+    /// Whether a request crashes each server that begins to execute it, and how long the server is
+    /// down then.
+    std::function<bool(const CallerRequest &)> isCrashing;
+    Duration crashDownTime = seconds(3);
+
     /// The behaviour of the server at `address`. Every address has a server.
     ServerBehaviour &behaviour(const Address &address);
     [[nodiscard]] const ServerCounters &counters(const Address &address);
@@ -88,6 +93,8 @@
     /// Number of attempts to open a connection, including failed ones.
     [[nodiscard]] int connectionAttempts() const { return m_connectionAttempts; }
     [[nodiscard]] int openConnections() const { return m_openConnections; }
+    /// Number of servers that crashed because of isCrashing.
+    [[nodiscard]] int crashes() const { return m_crashes; }
 
     std::unique_ptr<ServerLink> open(const Address &address, ServerLinkListener &listener) override;
 
@@ -99,6 +106,7 @@
     Server &serverAt(const Address &address);
     void receive(Server &server, const std::shared_ptr<Work> &work);
     void startQueuedWork(Server &server);
+    void crashAndRestart(Server &server);
     void finish(Server &server, const std::shared_ptr<Work> &work);
     void reply(const std::shared_ptr<Work> &work, ServerReply reply);
     [[nodiscard]] double randomFraction() { return m_uniform(m_random); }
@@ -109,6 +117,7 @@
     std::unordered_map<std::string, std::unique_ptr<Server>> m_servers;
     int m_openConnections = 0;
     int m_connectionAttempts = 0;
+    int m_crashes = 0;
     std::uint64_t m_receiptCount = 0;
 };
 
--- a/modules/node/src/coordinator/ServiceCoordinator.cpp
+++ b/modules/node/src/coordinator/ServiceCoordinator.cpp
@@ -117,7 +117,8 @@
 
 int ServiceCoordinator::suspicions() const
 {
-    return countSuspectedFingerprints(m_crashHistory, m_context.timers.now(), m_policy);
+    return countSuspectedFingerprints(m_crashHistory, m_context.timers.now(),
+                                      crashRulesOf(m_policy));
 }
 
 std::shared_ptr<const ResolvedMap>
@@ -161,7 +162,7 @@
 {
     const TimePoint now = m_context.timers.now();
     const Fingerprint fingerprint = fingerprintOf(m_service, query.payload);
-    switch (decideDispatch(m_crashHistory, fingerprint, now, policy)) {
+    switch (decideDispatch(m_crashHistory, fingerprint, now, crashRulesOf(policy))) {
     case DispatchDecision::Refuse:
         m_context.log.record(EventId::CrashRefusal, query.request, m_service.text());
         refused =
--- a/modules/node/src/coordinator/ServiceCoordinatorOutcomes.cpp
+++ b/modules/node/src/coordinator/ServiceCoordinatorOutcomes.cpp
@@ -60,7 +60,8 @@
                                          const SubReply &reply)
 {
     ShardTask &task = active.tasks[position];
-    noteHarmless(m_crashHistory, active.fingerprint, m_context.timers.now(), active.policy);
+    noteHarmless(m_crashHistory, active.fingerprint, m_context.timers.now(),
+                 crashRulesOf(active.policy));
     if (task.state == TaskState::Answered || task.state == TaskState::Missing)
         return;
     addPart(active.merge, position, reply.documents);
@@ -121,8 +122,8 @@
                      removed.isExtra);
     if (!active)
         return;
-    const DispatchDecision verdict =
-        decideDispatch(m_crashHistory, active->fingerprint, m_context.timers.now(), active->policy);
+    const DispatchDecision verdict = decideDispatch(
+        m_crashHistory, active->fingerprint, m_context.timers.now(), crashRulesOf(active->policy));
     const bool isBlamed =
         verdict == DispatchDecision::CanaryAlone || verdict == DispatchDecision::Refuse;
     const bool isSuspect = loss == AttemptLoss::ConnectionLost && isBlamed;
--- a/modules/node/src/coordinator/ServiceCoordinatorTimers.cpp
+++ b/modules/node/src/coordinator/ServiceCoordinatorTimers.cpp
@@ -28,7 +28,7 @@
 void ServiceCoordinator::onHeartbeat(TimePoint now, bool isAfterPause)
 {
     m_pool.maintain(now, m_latency.mean(assumedLatency), isAfterPause);
-    expireCrashRecords(m_crashHistory, now, m_policy);
+    expireCrashRecords(m_crashHistory, now, crashRulesOf(m_policy));
     expireRequests(m_requestHistory, now, m_policy);
     for (std::size_t server = 0; server < m_queuesOfServer.size(); ++server)
         onCapacityAvailable(server);
