Instances share the rate that a server states

Cause: the field was passed on to callers and read by nobody. Ruled out: instances that each take the whole limit, and retries and hedges beside it; there was no limit at all.

Change: each instance keeps a token bucket of its share of the stated rate, over all attempts; servers without a token are not chosen. Where none has one, callers are refused at once with the time until then, unless a token comes in time.

--- a/modules/adapters/include/oleander/adapters/gateway/HeaderNames.h
+++ b/modules/adapters/include/oleander/adapters/gateway/HeaderNames.h
@@ -19,6 +19,8 @@
     std::string notExecuted;
     /// A server's load: running, waiting, slots.
     std::string reportedLoad;
+    /// Requests per second that a server accepts from all instances together.
+    std::string rateLimit;
 };
 
 } // namespace oleander
--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <netinet/tcp.h>
 #include <utility>
 
@@ -51,6 +52,15 @@
     return gateway::ReportedLoad{numbers[0], numbers[1], numbers[2]};
 }
 
+std::optional<double> parseRate(std::string_view text)
+{
+    double rate = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), rate);
+    if (result.ec != std::errc{} || !std::isfinite(rate) || rate < 0)
+        return std::nullopt;
+    return rate;
+}
+
 /// The time in "timeout=5, max=100".
 std::optional<Duration> parseKeepAlive(std::string_view text)
 {
@@ -283,6 +293,7 @@
         reply.receipt = std::string(message[m_names.receipt]);
         reply.isMisdirected = reply.status == gateway::statusMisdirected;
         reply.isNotExecuted = message.find(m_names.notExecuted) != message.end();
+        reply.rateLimit = parseRate(viewOf(message[m_names.rateLimit]));
         reply.load = parseLoad(viewOf(message[m_names.reportedLoad]));
         return reply;
     }
--- a/modules/core/include/oleander/core/Event.h
+++ b/modules/core/include/oleander/core/Event.h
@@ -45,6 +45,7 @@
     ServerReadmitted = 403,
     ServerSilent = 404,
     ServerWrongSnapshot = 405,
+    ServerRateLimit = 406,
     CrashSuspicion = 410,
     CrashRefusal = 411,
     PeerOpened = 500,
--- a/modules/core/src/Event.cpp
+++ b/modules/core/src/Event.cpp
@@ -70,6 +70,8 @@
               "a backend server answers on a new connection while a reply is overdue on another"},
     EventInfo{EventId::ServerWrongSnapshot, Warning, "ServerWrongSnapshot",
               "a backend server answered for another snapshot; the reply was dropped"},
+    EventInfo{EventId::ServerRateLimit, Warning, "ServerRateLimit",
+              "a backend server has stated or lifted the rate of requests that it accepts"},
     EventInfo{EventId::CrashSuspicion, Warning, "CrashSuspicion",
               "a backend server was lost while it executed a query"},
     EventInfo{EventId::CrashRefusal, Warning, "CrashRefusal",
--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -379,6 +379,8 @@
             {"caller_connections", "Connections of callers.", number(ingress.connections)},
             {"suspected_requests", "Requests under which servers were lost.",
              number(m_fleet.crashGuard().suspectedRequests())},
+            {"rate_limited_servers", "Servers that limit the rate of requests.",
+             number(m_fleet.rateLimitedServers())},
             {"active_calls", "Requests under way.", number(m_gateway.activeCalls())},
             {"coordinators", "Instances that coordinate gathered requests.",
              number(m_delegation.coordinators())},
--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <oleander/decisions/request/RateLimit.h>
 #include <oleander/gateway/Attempt.h>
 #include <oleander/gateway/GatewayPolicy.h>
 #include <oleander/gateway/ServerDirectory.h>
@@ -50,6 +51,9 @@
     /// True when this instance has no request in flight to the server and the last load report
     /// shows a short queue.
     [[nodiscard]] bool hasSpareCapacity() const;
+    /// Time until the server accepts a request of this instance; zero unless it limits the rate.
+    [[nodiscard]] Duration untilAccepting() const;
+    [[nodiscard]] bool isRateLimited() const { return m_rateLimit.has_value(); }
 
     // Updates
     void update(ServerRegistration registration);
@@ -59,6 +63,9 @@
         m_connectionLimit = count;
         m_idleLimit = idle;
     }
+    /// Sets the number of instances that share a rate limit of the server, and the share of a
+    /// request, from 0 to 1, that this one may send at the start of a limit.
+    void setRateSharing(int instances, double initialTokens);
     /// Called when the server is no longer registered. Running requests finish, and no new ones
     /// start.
     void retire();
@@ -96,6 +103,7 @@
     void drop(const AttemptPtr &attempt);
     void finish(const AttemptPtr &attempt, AttemptResult result);
     void recordResult(const Attempt &attempt, const AttemptResult &result);
+    void noteRateLimit(const AttemptResult &result);
     /// Removes the connection from the list and returns it, or null if it is no longer listed.
     std::unique_ptr<Connection> detach(Connection &connection);
 
@@ -104,6 +112,11 @@
     ServerScore m_score;
     int m_connectionLimit = 1;
     Duration m_idleLimit;
+    int m_rateSharers;
+    double m_initialTokens = 0;
+    /// The rate that the server has stated, and this instance's share of it.
+    std::optional<double> m_statedRate;
+    std::optional<RateLimit> m_rateLimit;
     bool m_isRetired = false;
     /// Another server answered at this address. Reset by a registration with a new start time or
     /// address.
--- a/modules/gateway/include/oleander/gateway/HttpMessage.h
+++ b/modules/gateway/include/oleander/gateway/HttpMessage.h
@@ -70,6 +70,8 @@
     /// A server other than the expected one uses this address.
     bool isMisdirected = false;
     std::optional<ReportedLoad> load;
+    /// Requests per second that the server accepts from all instances together, if it states this.
+    std::optional<double> rateLimit;
 };
 
 /// Returns the path of a request target without the query.
--- a/modules/gateway/include/oleander/gateway/ServerFleet.h
+++ b/modules/gateway/include/oleander/gateway/ServerFleet.h
@@ -28,6 +28,8 @@
     bool isShard = false;
 
     [[nodiscard]] bool hasUsableServer() const;
+    /// Time until a usable server that is not ejected accepts a request.
+    [[nodiscard]] Duration untilAccepting() const;
 };
 
 /// How the instances share the connections and the extra attempts of shards.
@@ -82,6 +84,8 @@
     BackendServer *choose(ServicePool &pool, const std::vector<BackendServer *> &excluded,
                           Duration usualLatency);
     [[nodiscard]] std::size_t connections() const;
+    /// Number of servers that limit the rate of requests.
+    [[nodiscard]] std::size_t rateLimitedServers() const;
     [[nodiscard]] CrashGuard &crashGuard() { return m_crashGuard; }
     [[nodiscard]] const CrashGuard &crashGuard() const { return m_crashGuard; }
     /// Takes one extra attempt from the service's budget; false when it is exhausted.
--- a/modules/gateway/include/oleander/gateway/ServiceCall.h
+++ b/modules/gateway/include/oleander/gateway/ServiceCall.h
@@ -45,6 +45,8 @@
     std::optional<ServerReply> reply;
     /// Without a reply: whether a server may have executed the request.
     ExecutionState ran = ExecutionState::NotRun;
+    /// When nothing was executed: time until a server accepts the request, if servers said so.
+    Duration retryAfter{};
 };
 
 /// Sends one request to a server of a service, and to further servers where permitted: after a
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -71,6 +71,8 @@
 
 namespace {
 
+/// Number of instances that share a server's rate limit until the real number is known.
+constexpr int assumedInstances = 24;
 /// Connection attempts that take longer are considered failed.
 constexpr Duration connectTimeout = milliseconds(700);
 
@@ -80,6 +82,7 @@
     : m_context(context)
     , m_registration(std::move(registration))
     , m_idleLimit(context.policy.idleLimit)
+    , m_rateSharers(context.policy.instances.value_or(assumedInstances))
 {
     m_score.warmUpUntil = m_context.timer.now() + m_registration.warmUpLeft;
 }
@@ -119,7 +122,21 @@
 {
     // Load reports are slightly outdated, so a short reported queue is probably empty by now.
     constexpr double shortQueue = 0.5;
-    return inFlight() == 0 && reportedQueue(m_score, m_context.timer.now()) <= shortQueue;
+    return !m_rateLimit && inFlight() == 0
+           && reportedQueue(m_score, m_context.timer.now()) <= shortQueue;
+}
+
+Duration BackendServer::untilAccepting() const
+{
+    return m_rateLimit ? untilToken(*m_rateLimit, m_context.timer.now()) : Duration{};
+}
+
+void BackendServer::setRateSharing(int instances, double initialTokens)
+{
+    m_rateSharers = instances;
+    m_initialTokens = initialTokens;
+    if (m_rateLimit)
+        changeRate(*m_rateLimit, *m_statedRate, instances, m_context.timer.now());
 }
 
 void BackendServer::update(ServerRegistration registration)
@@ -129,6 +146,8 @@
     m_registration = std::move(registration);
     if (isRestarted) {
         m_isAddressReused = false;
+        m_statedRate.reset();
+        m_rateLimit.reset();
         m_score = {};
         m_score.warmUpUntil = m_context.timer.now() + m_registration.warmUpLeft;
     }
@@ -151,6 +170,8 @@
 {
     attempt->server = this;
     m_context.crashes.onSubmitted(*attempt->trial);
+    if (m_rateLimit)
+        takeToken(*m_rateLimit, m_context.timer.now());
     if (Connection *idle = idleConnection(*attempt)) {
         idle->send(attempt);
         return;
@@ -405,6 +426,7 @@
     const TimePoint now = m_context.timer.now();
     if (result.reply.load)
         noteLoad(m_score, *result.reply.load, now);
+    noteRateLimit(result);
     if (result.reply.isMisdirected) {
         m_isAddressReused = true;
         m_context.log.record(EventId::ServerEjected, attempt.request->id,
@@ -432,6 +454,36 @@
     }
 }
 
+void BackendServer::noteRateLimit(const AttemptResult &result)
+{
+    const std::optional<double> stated = result.reply.rateLimit;
+    const bool isFromServer =
+        result.outcome == AttemptOutcome::Replied || result.outcome == AttemptOutcome::NotExecuted;
+    // A rejection need not repeat the limit.
+    const bool isLifted = !stated && result.outcome == AttemptOutcome::Replied;
+    if (!isFromServer || result.reply.isMisdirected || stated == m_statedRate
+        || (!stated && !isLifted))
+        return;
+    const TimePoint now = m_context.timer.now();
+    m_context.log.record(EventId::ServerRateLimit, {},
+                         {{"server", m_registration.id.text()},
+                          {"service", m_registration.service.text()},
+                          {"perSecond", stated.value_or(0)},
+                          {"isLifted", isLifted},
+                          {"instances", m_rateSharers}});
+    const bool isNew = !m_statedRate;
+    m_statedRate = stated;
+    if (isLifted)
+        m_rateLimit.reset();
+    else if (!isNew)
+        changeRate(*m_rateLimit, *stated, m_rateSharers, now);
+    else
+        m_rateLimit = startRateLimit(*stated, m_rateSharers, m_initialTokens, now);
+    // What waits here was not counted; other servers may accept it at once.
+    if (isNew)
+        failWaiting();
+}
+
 std::unique_ptr<BackendServer::Connection> BackendServer::detach(Connection &connection)
 {
     const auto found =
--- a/modules/gateway/src/CallBase.cpp
+++ b/modules/gateway/src/CallBase.cpp
@@ -108,7 +108,7 @@
         release();
 }
 
-void CallBase::refuse(std::string_view cause)
+void CallBase::refuse(std::string_view cause, Duration retryAfter)
 {
     ++m_gateway.m_counts.refused;
     record(EventId::QueryRefused, {{"cause", cause},
@@ -116,8 +116,8 @@
                                    {"configuration", m_terms.configuration.value()},
                                    {"afterMs", inMilliseconds(age())}});
     answer({statusUnavailable,
-            {retryAfterField(std::max(m_gateway.m_policy.retryAfter,
-                                      m_gateway.m_fleet.crashGuard().refusalLeft(*m_trial)))},
+            {retryAfterField(std::max({m_gateway.m_policy.retryAfter, retryAfter,
+                                       m_gateway.m_fleet.crashGuard().refusalLeft(*m_trial)}))},
             "not run: " + std::string(cause) + "\n"});
 }
 
--- a/modules/gateway/src/Calls.h
+++ b/modules/gateway/src/Calls.h
@@ -75,7 +75,8 @@
     // Answering
     void answer(CallerAnswer answer);
     /// Refuses the request, which has not been executed and will not be.
-    void refuse(std::string_view cause);
+    /// `retryAfter` is when the caller may come back, if that is later than usual.
+    void refuse(std::string_view cause, Duration retryAfter = {});
     /// Refuses after the current event has been handled. `cause` must be a string literal.
     void refuseLater(std::string_view cause);
     /// Returns true if servers were lost while they executed the request, and refuses it then.
--- a/modules/gateway/src/ForwardCall.cpp
+++ b/modules/gateway/src/ForwardCall.cpp
@@ -56,7 +56,7 @@
 {
     if (!outcome.reply) {
         if (outcome.ran == ExecutionState::NotRun)
-            refuse("servers are busy or unreachable");
+            refuse("servers are busy or unreachable", outcome.retryAfter);
         else
             fail(statusBadGateway, "connection to the server lost");
         return;
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -43,6 +43,18 @@
                                [](const BackendServer *server) { return server->isUsable(); });
 }
 
+Duration ServicePool::untilAccepting() const
+{
+    std::optional<Duration> soonest;
+    for (const BackendServer *server : servers) {
+        if (!server->isUsable() || server->isEjected())
+            continue;
+        const Duration left = server->untilAccepting();
+        soonest = std::min(soonest.value_or(left), left);
+    }
+    return soonest.value_or(Duration{});
+}
+
 ServerFleet::ServerFleet(ServerLinkFactory &links, TimerService &timer, RandomSource &random,
                          EventLog &log, const GatewayPolicy &policy, DataCentreId dataCentre)
     : m_crashGuard(timer, log, policy.crashes)
@@ -170,7 +182,7 @@
     const TimePoint now = m_context.timer.now();
     return std::ranges::any_of(pool.servers, [&](const BackendServer *server) {
         if (server->registration().dataCentre != m_dataCentre || !server->isUsable()
-            || server->isEjected())
+            || server->isEjected() || server->untilAccepting() > Duration{})
             return false;
         const auto oldest = server->oldestSendTime();
         const bool isStalled = oldest && now - *oldest > stalledLatencies * usualLatency;
@@ -203,6 +215,7 @@
         const bool keepsIdle = keepsAny && (!isScarce || server == order.front().second);
         server->setConnectionLimits(connectionLimit(pool),
                                     keepsIdle ? m_policy.idleLimit : m_policy.onDemandIdleLimit);
+        server->setRateSharing(sharers(pool).value_or(assumedInstances), unitInterval(rank << 1));
         if (pool.preferred.size() == preferred)
             continue;
         pool.preferred.push_back(server);
@@ -255,7 +268,7 @@
     candidates.reserve(servers.size());
     for (std::size_t index = 0; index < servers.size(); ++index) {
         const BackendServer &server = *servers[index];
-        if (!server.isUsable() || server.isEjected()
+        if (!server.isUsable() || server.isEjected() || server.untilAccepting() > Duration{}
             || std::ranges::find(excluded, &server) != excluded.end())
             continue;
         ServerCandidate candidate{index, &server.score(), server.inFlight(), 0,
@@ -276,6 +289,12 @@
     return count;
 }
 
+std::size_t ServerFleet::rateLimitedServers() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_servers, [](const auto &entry) { return entry.second->isRateLimited(); }));
+}
+
 bool ServerFleet::takeExtra(ServicePool &pool, ExtraAttemptKind kind)
 {
     return pool.extraBudget.takeExtra(extraRules(pool), kind, m_context.timer.now());
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -242,7 +242,9 @@
     if (!m_done)
         return;
     const bool isRefused = m_fleet.crashGuard().decide(*m_plan.trial) == SendDecision::Refuse;
-    const Duration wait = backoffDelay(++m_retries, m_plan.retryDelays, m_fleet.drawRandom());
+    const Duration wait =
+        std::max(backoffDelay(++m_retries, m_plan.retryDelays, m_fleet.drawRandom()),
+                 m_plan.pool->untilAccepting());
     if (isRefused || !m_plan.pool->hasUsableServer() || m_timer.now() + wait > m_plan.retryUntil) {
         finish();
         return;
@@ -279,7 +281,7 @@
     if (m_failureReply)
         finishWith({std::move(m_failureReply), ExecutionState::Ran});
     else
-        finishWith({std::nullopt, ranState()});
+        finishWith({std::nullopt, ranState(), m_plan.pool->untilAccepting()});
 }
 
 void ServiceCall::finishWith(ServiceOutcome outcome)
--- a/modules/gateway/tests/LoadPatternTest.cpp
+++ b/modules/gateway/tests/LoadPatternTest.cpp
@@ -229,4 +229,86 @@
         EXPECT_LE(simulation.instance(number).gateway.activeCalls(), 60U);
 }
 
+/// The rule for servers that limit the rate: from this time after a limit was stated, at most so
+/// many times what it allows in any window, and a few requests more.
+constexpr Duration limitSettleTime = seconds(4);
+constexpr Duration limitWindow = seconds(4);
+constexpr double limitFactor = 1.5;
+constexpr int limitSlack = 5;
+
+/// The largest number of requests in one window that the server got while the limit was settled,
+/// divided by the permitted number.
+double limitUse(LoadSimulation &simulation, const Address &address, TimePoint from, double limit)
+{
+    const auto &arrivals = simulation.servers().counters(address).arrivalTimes;
+    std::size_t most = 0;
+    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+        if (*first < from)
+            continue;
+        const auto end = std::lower_bound(first, arrivals.end(), *first + limitWindow);
+        most = std::max(most, static_cast<std::size_t>(end - first));
+    }
+    const double permitted =
+        limitFactor * limit * std::chrono::duration<double>(limitWindow).count() + limitSlack;
+    return static_cast<double>(most) / permitted;
+}
+
+/// Lets servers state half of the rate that they usually get, and expects that none gets more.
+void expectLimitsKept(const LoadProfile &profile, const std::vector<std::pair<int, int>> &limited,
+                      double limit, double searchCredit, double searchServed)
+{
+    double credit = 0;
+    double served = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        LoadSimulation simulation(profile, {}, seed);
+        TimePoint stated;
+        simulation.scheduleChange(changeTime, [&] {
+            stated = simulation.scheduler().now();
+            for (const auto &[service, server] : limited)
+                simulation.servers().behaviour(addressOf(service, server)).rateLimit = limit;
+        });
+        simulation.run(simulationLength);
+        for (const auto &[service, server] : limited) {
+            const double use =
+                limitUse(simulation, addressOf(service, server), stated + limitSettleTime, limit);
+            EXPECT_LE(use, 1) << "server " << server << " of service " << service;
+            EXPECT_GE(use, 0.3) << "the server's rate is not used";
+        }
+        const LoadResults results =
+            simulation.results(profile.streams.front().path, measuredFrom, measuredUntil);
+        credit += results.meanCredit() / seeds;
+        served += results.servedShare() / seeds;
+    }
+    EXPECT_GE(credit, searchCredit);
+    EXPECT_GE(served, searchServed);
+}
+
+// Guards against sending a server more requests than the rate that it states in its replies.
+TEST(LoadPattern, ServerThatStatesARateGetsNoMoreFromAllInstancesTogether)
+{
+    expectLimitsKept(smallDeployment(), {{0, 0}}, 24, 0.9, 0.999);
+}
+
+TEST(LoadPattern, ServersOfManyShardsThatStateARateGetNoMore)
+{
+    constexpr int limitedShards = 14;
+    std::vector<std::pair<int, int>> limited;
+    limited.reserve(limitedShards);
+    for (int service = 0; service < limitedShards; ++service)
+        limited.emplace_back(service, service % 2);
+    // The other server of these shards is offered 90 requests a second, which occupy its slots
+    // fully.
+    expectLimitsKept(smallDeployment(), limited, 24, 0.3, 0.99);
+}
+
+TEST(LoadPattern, BothServersOfAShardThatStateARateGetNoMore)
+{
+    expectLimitsKept(smallDeployment(), {{0, 0}, {0, 1}}, 24, 0.8, 0.99);
+}
+
+TEST(LoadPattern, ServersThatStateARateGetNoMoreFromAFleetOfManyInstances)
+{
+    expectLimitsKept(largeDeployment(), {{0, 0}, {1, 1}, {2, 2}, {3, 0}}, 15, 0.5, 0.99);
+}
+
 } // namespace
--- a/modules/gateway/tests/support/SimulatedServers.cpp
+++ b/modules/gateway/tests/support/SimulatedServers.cpp
@@ -172,6 +172,7 @@
     if (behaviour.isUnresponsive || behaviour.isDown || !work->link->listener)
         return;
     ++server.counters.arrived;
+    server.counters.arrivalTimes.push_back(m_scheduler.now());
     ServerReply refusal;
     refusal.status = 503;
     refusal.isNotExecuted = true;
@@ -249,6 +250,7 @@
                                                                       : 200;
     answer.receipt = "receipt-" + std::to_string(++m_receiptCount);
     answer.body = makeBody(*work->request, server.address);
+    answer.rateLimit = server.behaviour.rateLimit;
     answer.load = ReportedLoad{static_cast<int>(server.running.size()),
                                static_cast<int>(server.waiting.size()), server.behaviour.slots};
     if (randomFraction() < server.behaviour.lostReplyRate) {
--- a/modules/gateway/tests/support/SimulatedServers.h
+++ b/modules/gateway/tests/support/SimulatedServers.h
@@ -30,6 +30,8 @@
     /// Fraction of requests that the server executes and then closes the connection without a
     /// reply.
     double lostReplyRate = 0;
+    /// The rate of requests that the server states in its replies.
+    std::optional<double> rateLimit;
     /// Maximum number of open connections; further ones are refused.
     int connectionCap = 1'000'000;
     /// Refuses connections and drops all requests.
@@ -55,6 +57,7 @@
     /// Connections refused because of the connection cap.
     int connectionsRefused = 0;
     std::vector<std::string> executedIds;
+    std::vector<TimePoint> arrivalTimes;
 };
 
 /// Backend servers in virtual time, reached over links with a fixed network delay.
