Test: a reply cut anywhere before its end is no reply

Reported by other operators: a server stopped in the middle of its answer's head, and clients got a 200 with an empty or short body. A body without a length ends with its connection, as the protocol has it; a reset or a cut head is a lost reply.

--- a/modules/adapters/tests/gateway/ServerLinksTest.cpp
+++ b/modules/adapters/tests/gateway/ServerLinksTest.cpp
@@ -202,4 +202,60 @@
         requesters, [](const auto &requester) { return requester->reply.has_value(); }));
 }
 
+/// Answers the first request on a connection with some bytes and closes the connection.
+class ClosingServer
+{
+public:
+    ClosingServer(asio::io_context &context, std::string bytes)
+        : m_acceptor(context, {asio::ip::make_address("127.0.0.1"), 0})
+        , m_socket(context)
+        , m_bytes(std::move(bytes))
+    {
+        m_acceptor.async_accept(m_socket, [this](const error_code &error) {
+            if (!error)
+                m_socket.async_read_some(asio::buffer(m_in), [this](const error_code &, auto) {
+                    error_code ignored;
+                    asio::write(m_socket, asio::buffer(m_bytes), ignored);
+                    m_socket.close(ignored);
+                });
+        });
+    }
+    [[nodiscard]] Address address() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+private:
+    tcp::acceptor m_acceptor;
+    tcp::socket m_socket;
+    std::array<char, 4096> m_in{};
+    std::string m_bytes;
+};
+
+// Guards against taking a reply whose server ended in the middle of it for a whole one, with an
+// empty or a short body.
+TEST(ServerLinks, ReplyThatIsCutBeforeItsEndIsNoReply)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nReceipt: a\r\n";
+    const std::vector<std::pair<std::string, std::size_t>> replies{
+        {ok + "Content-Length: 5\r\n\r\nhello", 0},
+        {ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", 0},
+        {ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX: y\r\n\r\n", 0},
+        // Without a length, the body ends where the connection does.
+        {ok + "\r\nhello", std::string("hello").size()},
+    };
+    for (const auto &[whole, bodyBytes] : replies) {
+        for (std::size_t length = 0; length <= whole.size(); ++length) {
+            asio::io_context context;
+            ClosingServer server(context, whole.substr(0, length));
+            AsioServerLinks links(context, headerNames());
+            Requester requester(links, server.address());
+            while (!requester.isClosed && !requester.reply)
+                ASSERT_GT(context.run_one_for(std::chrono::seconds(5)), 0U);
+            const bool isWhole = length >= whole.size() - bodyBytes;
+            EXPECT_EQ(requester.reply.has_value(), isWhole) << whole.substr(0, length);
+        }
+    }
+}
+
 } // namespace
