A planned stop answers each request that it has read

Reported by other operators: in a planned stop in calm, requests that came late in the grace were passed on, and cut with no answer at its end, among them requests that may not be repeated. It happened here: a request that a server still executes 400 ms before the end of the grace lost its connection, and one whose last byte came late in the stop was passed on.

Cause: the stop waited for requests in progress, and then ended the process under them; a request's deadline did not know of the stop. Change: 200 ms before the forced end all calls end as at their deadline (504, or the parts that are in), for callers and for other instances; the deadline that servers are told is cut to that; and a request that can not meet its objective by then is refused at once.

--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -38,6 +38,8 @@
 constexpr Duration leavingTime = milliseconds(2800);
 /// Time kept back from the end that is forced.
 constexpr Duration stopMargin = milliseconds(400);
+/// Time in which the last answers reach their callers.
+constexpr Duration lastAnswersTime = milliseconds(200);
 constexpr Duration stopPollPeriod = milliseconds(50);
 /// Time after the start until the number of instances is believed.
 constexpr Duration settlingTime = seconds(4);
@@ -437,6 +439,7 @@
         m_peers.beginStop();
         const Duration forcedEnd = m_settings.stopTime - stopMargin;
         m_stopDeadline = m_timer.now() + forcedEnd;
+        m_gateway.beginStop(m_stopDeadline - lastAnswersTime);
         m_stopStep = m_timer.callAfter(std::min(leavingTime, forcedEnd / 2),
                                        [this](const TimerTick &) { endWhenIdle(); });
     }
--- a/modules/gateway/include/oleander/gateway/Gateway.h
+++ b/modules/gateway/include/oleander/gateway/Gateway.h
@@ -7,7 +7,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace oleander::gateway {
 
@@ -64,6 +66,7 @@
     std::uint64_t delegatedGroups = 0;
 };
 
+class CallBase;
 class GatherDelegation;
 
 /// Accepts callers' requests and answers each exactly once.
@@ -91,7 +94,11 @@
     /// Executes a gathered request for another instance.
     std::shared_ptr<Call> coordinate(const CoordinatedRequest &coordinated, AnswerCallback answer);
 
-    [[nodiscard]] std::size_t activeCalls() const { return m_activeCalls; }
+    /// Called when the process is about to stop: at `end` all requests still in progress are
+    /// answered with what is there. Requests that can not meet their objective by then are refused.
+    void beginStop(TimePoint end);
+
+    [[nodiscard]] std::size_t activeCalls() const { return m_calls.size(); }
     [[nodiscard]] const GatewayCounts &counts() const { return m_counts; }
 
 private:
@@ -102,6 +109,7 @@
     struct RouteState;
 
     RouteState &routeState(const RouteId &route);
+    void endCalls();
 
     ServerFleet &m_fleet;
     TimerService &m_timer;
@@ -112,8 +120,10 @@
     GatherDelegation *m_delegation = nullptr;
     RouteTablePtr m_routes;
     std::unordered_map<RouteId, std::unique_ptr<RouteState>> m_routeStates;
-    std::size_t m_activeCalls = 0;
+    std::unordered_set<CallBase *> m_calls;
     GatewayCounts m_counts;
+    std::optional<TimePoint> m_stopAt;
+    Subscription m_stopTimer;
 };
 
 } // namespace oleander::gateway
--- a/modules/gateway/src/CallBase.cpp
+++ b/modules/gateway/src/CallBase.cpp
@@ -51,25 +51,29 @@
     , m_deadline(m_terms.deadline)
     , m_answer(std::move(answer))
 {
-    ++m_gateway.m_activeCalls;
+    m_gateway.m_calls.insert(this);
 }
 
 CallBase::~CallBase()
 {
-    --m_gateway.m_activeCalls;
+    m_gateway.m_calls.erase(this);
 }
 
 void CallBase::start()
 {
     m_selfReference = shared_from_this();
     const Duration left = m_deadline - m_gateway.m_timer.now();
-    m_deadlineTimer = m_gateway.m_timer.callAfter(left, [this](const TimerTick &) {
-        if (!isAnswered())
-            onDeadline();
-    });
+    m_deadlineTimer =
+        m_gateway.m_timer.callAfter(left, [this](const TimerTick &) { endAtDeadline(); });
     begin();
 }
 
+void CallBase::endAtDeadline()
+{
+    if (!isAnswered())
+        onDeadline();
+}
+
 void CallBase::onCallerDisconnected()
 {
     if (isAnswered())
--- a/modules/gateway/src/Calls.h
+++ b/modules/gateway/src/Calls.h
@@ -59,6 +59,8 @@
     ~CallBase() override;
 
     void start();
+    /// Answers with what is there, unless the call has been answered.
+    void endAtDeadline();
     void onCallerDisconnected() override;
 
 protected:
--- a/modules/gateway/src/Gateway.cpp
+++ b/modules/gateway/src/Gateway.cpp
@@ -2,7 +2,9 @@
 
 #include <oleander/gateway/HttpStatus.h>
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace oleander::gateway {
 
@@ -67,6 +69,16 @@
         return nullptr;
     }
     CallTerms terms = callTerms(*request, m_routes, *route, m_policy);
+    if (m_stopAt && m_timer.now() + route->objective > *m_stopAt) {
+        ++m_counts.refused;
+        m_log.record(EventId::QueryRefused, request->id,
+                     {{"cause", "instance is stopping"}, {"route", route->id.text()}});
+        m_timer.post([answer = std::move(answer), retryAfter = m_policy.retryAfter] {
+            answer({statusUnavailable, {retryAfterField(retryAfter)}, "instance is stopping\n"});
+        });
+        return nullptr;
+    }
+    terms.deadline = std::min(terms.deadline, m_stopAt.value_or(terms.deadline));
     std::shared_ptr<CallBase> call;
     if (route->isGathered() && m_delegation && m_delegation->isActiveFor(*route))
         call = std::make_shared<DelegatedGatherCall>(*this, *m_delegation, std::move(request),
@@ -88,13 +100,34 @@
     const SectionVersion version = m_routes ? m_routes->version() : SectionVersion();
     const auto call = std::make_shared<GatherCall>(
         *this, coordinated.request,
-        CallTerms{coordinated.route, version, coordinated.deadline, coordinated.answerBy,
-                  coordinated.isRerun, coordinated.shards, coordinated.minimumParts},
+        CallTerms{coordinated.route, version,
+                  std::min(coordinated.deadline, m_stopAt.value_or(coordinated.deadline)),
+                  coordinated.answerBy, coordinated.isRerun, coordinated.shards,
+                  coordinated.minimumParts},
         std::move(answer));
     call->start();
     return call;
 }
 
+void Gateway::beginStop(TimePoint end)
+{
+    m_stopAt = end;
+    m_stopTimer = m_timer.callAfter(std::max(Duration{}, end - m_timer.now()),
+                                    [this](const TimerTick &) { endCalls(); });
+}
+
+void Gateway::endCalls()
+{
+    std::vector<std::weak_ptr<CallBase>> calls;
+    calls.reserve(m_calls.size());
+    for (CallBase *call : m_calls)
+        calls.push_back(call->weak_from_this());
+    for (const auto &weak : calls) {
+        if (const auto call = weak.lock())
+            call->endAtDeadline();
+    }
+}
+
 Gateway::RouteState &Gateway::routeState(const RouteId &route)
 {
     auto &state = m_routeStates[route];
--- a/modules/gateway/tests/CallTest.cpp
+++ b/modules/gateway/tests/CallTest.cpp
@@ -214,6 +214,32 @@
     EXPECT_LE(received->latency, milliseconds(700));
 }
 
+// Guards against a planned stop that cuts requests at its end instead of answering them.
+TEST_F(CallTest, RequestsInProgressAreAnsweredWhenTheProcessStops)
+{
+    servers.executionTime = [](const CallerRequest &, std::mt19937_64 &) { return seconds(9); };
+    const auto gathered = instance.sendRequest("r1", "/gather/x", seconds(15));
+    const auto idempotent = instance.sendRequest("r2", "/one/x", seconds(15));
+    scheduler.runFor(milliseconds(100));
+    const TimePoint end = scheduler.now() + milliseconds(1500);
+    instance.gateway.beginStop(end);
+    const auto claim = instance.sendRequest("r3", "/once/x", seconds(15), "POST");
+    scheduler.runFor(milliseconds(1000));
+    const int executed = executedCount(shardCount);
+    // Too late to be answered within the objective.
+    const auto late = instance.sendRequest("r4", "/once/x", seconds(15), "POST");
+    scheduler.runFor(milliseconds(1));
+    ASSERT_TRUE(late->answer);
+    EXPECT_EQ(late->answer->status, 503);
+    EXPECT_EQ(late->answer->fields.front().name, "Retry-After");
+    EXPECT_EQ(executedCount(shardCount), executed);
+    scheduler.runFor(end - scheduler.now() + microseconds(1));
+    for (const auto &received : {gathered, idempotent, claim}) {
+        ASSERT_TRUE(received->answer) << received->id;
+        EXPECT_EQ(received->answer->status, 504) << received->id;
+    }
+}
+
 TEST_F(CallTest, OlderConfigurationIsIgnored)
 {
     instance.gateway.configure(testConfiguration(shardCount, 5));
