A reply counts for a request only if it proves that it belongs to it

Cause: the id was compared only where the reply has one. Change: ownerOfReply decides; a reply without an id counts for the first request of a connection only, and otherwise the request is lost and the connection ends. The same fault with an exact copy, whose id is right: a request that may be executed once is not sent again on a connection that has carried it.

--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -119,6 +119,7 @@
     {
         m_request = request.request;
         m_isHead = m_request->method == "HEAD";
+        ++m_requestsSent;
         m_parser.reset();
         m_skippedReplies = 0;
         m_out = head(request);
@@ -257,11 +258,17 @@
         if (message.result_int() < firstFinalStatus)
             return skipReply();
         const auto echoed = message.find(m_names.requestId);
-        if (echoed != message.end() && viewOf(echoed->value()) != m_request->id.text()) {
-            // An extra reply to an earlier request; the right one may follow.
+        const auto owner = gateway::ownerOfReply(
+            echoed == message.end() ? std::nullopt : std::optional(viewOf(echoed->value())),
+            m_request->id, m_requestsSent == 1);
+        if (owner == gateway::ReplyOwner::Unknown) {
+            close(LinkEnd::Unusable);
+            return false;
+        }
+        if (owner != gateway::ReplyOwner::Request)
             m_isBroken = true;
+        if (owner == gateway::ReplyOwner::Other)
             return skipReply();
-        }
         const bool isReusable = message.keep_alive() && !message.need_eof() && m_in.size() == 0
                                 && !m_isWriting && !m_isBroken;
         const auto keepAlive = parseKeepAlive(viewOf(message[http::field::keep_alive]));
@@ -337,6 +344,7 @@
     /// Something was seen after which the connection must not be used again.
     bool m_isBroken = false;
     bool m_isHead = false;
+    std::uint64_t m_requestsSent = 0;
     int m_skippedReplies = 0;
     /// Bytes of the unfinished reply, and those of all connections.
     std::size_t m_held = 0;
--- a/modules/adapters/tests/gateway/ServerLinksTest.cpp
+++ b/modules/adapters/tests/gateway/ServerLinksTest.cpp
@@ -258,4 +258,136 @@
     }
 }
 
+/// Answers each request on one connection with the next of some replies.
+class ScriptedServer
+{
+public:
+    ScriptedServer(asio::io_context &context, std::vector<std::string> replies)
+        : m_acceptor(context, {asio::ip::make_address("127.0.0.1"), 0})
+        , m_socket(context)
+        , m_replies(std::move(replies))
+    {
+        m_acceptor.async_accept(m_socket, [this](const error_code &error) {
+            if (!error)
+                answerNext();
+        });
+    }
+    [[nodiscard]] Address address() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+private:
+    void answerNext()
+    {
+        m_socket.async_read_some(asio::buffer(m_in), [this](const error_code &error, auto) {
+            if (error || m_next == m_replies.size())
+                return;
+            error_code ignored;
+            asio::write(m_socket, asio::buffer(m_replies[m_next++]), ignored);
+            answerNext();
+        });
+    }
+
+    tcp::acceptor m_acceptor;
+    tcp::socket m_socket;
+    std::array<char, 4096> m_in{};
+    std::vector<std::string> m_replies;
+    std::size_t m_next = 0;
+};
+
+/// Sends requests "r1", "r2" and so on, each when the one before has been answered.
+class SerialRequester final : public gateway::ServerLinkListener
+{
+public:
+    SerialRequester(AsioServerLinks &links, const Address &address, bool hasIds = true)
+        : m_hasIds(hasIds)
+        , m_link(links.open(address, *this))
+    {
+    }
+
+    void onOpened() override { sendNext(); }
+    void onReply(gateway::ServerReply reply, bool isReusable) override
+    {
+        replies.push_back(std::move(reply));
+        wasReusable = isReusable;
+        if (isReusable)
+            sendNext();
+    }
+    void onClosed(gateway::LinkEnd) override { isClosed = true; }
+
+    std::vector<gateway::ServerReply> replies;
+    bool wasReusable = true;
+    bool isClosed = false;
+
+private:
+    void sendNext()
+    {
+        auto request = std::make_shared<gateway::CallerRequest>();
+        if (m_hasIds)
+            request->id = RequestId("r" + std::to_string(replies.size() + 1));
+        request->method = "GET";
+        request->target = "/x";
+        request->host = "host.example";
+        m_link->send({std::move(request), ServerId("i-1"), seconds(1)});
+    }
+
+    bool m_hasIds;
+    std::unique_ptr<gateway::ServerLink> m_link;
+};
+
+std::string replyWith(const std::string &fields, const std::string &status = "200 OK")
+{
+    return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: 1\r\n\r\nx";
+}
+
+// Guards against a damaged second copy of an earlier reply, without an id, that counts as the reply
+// to the next request: as a success that is another caller's, or as proof that nothing was
+// executed.
+TEST(ServerLinks, ReplyWithoutAnIdOnAUsedConnectionIsNoReply)
+{
+    for (const std::string &copy :
+         {replyWith("Receipt: a\r\n"), replyWith("Not-Run: 1\r\n", "503 Busy"),
+          replyWith("Reqvest-Id: r1\r\n"), replyWith("", "421 Misdirected"),
+          std::string("HTTP/1.1 200 OK\r\nReceipt: a\r\nConnection: close\r\n\r\nx")}) {
+        asio::io_context context;
+        ScriptedServer server(context, {replyWith("Request-Id: r1\r\n"), copy});
+        AsioServerLinks links(context, headerNames());
+        SerialRequester requester(links, server.address());
+        context.run_for(std::chrono::milliseconds(50));
+        EXPECT_EQ(requester.replies.size(), 1U) << copy;
+        if (copy.find("close") == std::string::npos) {
+            EXPECT_TRUE(requester.isClosed) << copy;
+        }
+    }
+}
+
+TEST(ServerLinks, ReplyWithoutAnIdToTheOnlyRequestIsTakenAndEndsTheConnection)
+{
+    for (const bool hasIds : {true, false}) {
+        asio::io_context context;
+        ScriptedServer server(context, {replyWith("", "400 Bad Request"), replyWith("")});
+        AsioServerLinks links(context, headerNames());
+        SerialRequester requester(links, server.address(), hasIds);
+        context.run_for(std::chrono::milliseconds(50));
+        ASSERT_EQ(requester.replies.size(), 1U);
+        EXPECT_EQ(requester.replies.front().status, 400);
+        EXPECT_FALSE(requester.wasReusable);
+    }
+}
+
+TEST(ServerLinks, ReplyToAnEarlierRequestIsSkippedAndTheRightOneTaken)
+{
+    asio::io_context context;
+    ScriptedServer server(context, {replyWith("Request-Id: r1\r\n"),
+                                    replyWith("Request-Id: r1\r\nNot-Run: 1\r\n", "503 Busy")
+                                        + replyWith("Request-Id: r2\r\n")});
+    AsioServerLinks links(context, headerNames());
+    SerialRequester requester(links, server.address());
+    context.run_for(std::chrono::milliseconds(50));
+    ASSERT_EQ(requester.replies.size(), 2U);
+    EXPECT_EQ(requester.replies.back().status, 200);
+    EXPECT_FALSE(requester.wasReusable);
+}
+
 } // namespace
--- a/modules/gateway/include/oleander/gateway/ServerLink.h
+++ b/modules/gateway/include/oleander/gateway/ServerLink.h
@@ -6,6 +6,8 @@
 #include <oleander/settings/Address.h>
 
 #include <memory>
+#include <optional>
+#include <string_view>
 
 namespace oleander::gateway {
 
@@ -19,6 +21,24 @@
     Duration timeLeft{};
 };
 
+/// Whose reply it is that arrives while a request awaits one.
+enum class ReplyOwner {
+    /// That of the request: it carries its id.
+    Request,
+    /// That of the request, since the connection has carried no other. A second copy of it could
+    /// not be told from the reply to a later request.
+    OnlyRequest,
+    /// An earlier request's, whose id it carries. The awaited one may follow.
+    Other,
+    /// Not known: it carries no id, and the connection has carried other requests. It shows neither
+    /// that the request was executed nor that it was not.
+    Unknown,
+};
+
+/// Decides whose reply it is. `echoedId` is the request id that it carries, if any.
+[[nodiscard]] ReplyOwner ownerOfReply(std::optional<std::string_view> echoedId,
+                                      const RequestId &awaited, bool isFirstOnConnection);
+
 /// How a link ended.
 enum class LinkEnd {
     /// No connection came about.
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -22,6 +22,9 @@
     {
         const TimePoint now = m_owner.m_context.timer.now();
         m_current = attempt;
+        std::erase_if(m_carried, [](const auto &carried) { return carried.expired(); });
+        m_carried.push_back(attempt->request);
+        m_isUnused = false;
         attempt->isSent = true;
         attempt->sentAt = now;
         m_link->send({attempt->request, m_owner.m_registration.id, attempt->deadline - now});
@@ -34,6 +37,21 @@
     }
 
     [[nodiscard]] const AttemptPtr &current() const { return m_current; }
+    /// False when the reply could not be told from a late second copy of an earlier one: that to
+    /// any request, if this one has no id, or the rejection of the same one. An idempotent request
+    /// takes no harm from a false rejection.
+    [[nodiscard]] bool canCarry(const Attempt &attempt) const
+    {
+        const RequestId &id = attempt.request->id;
+        if (id.isEmpty())
+            return m_isUnused;
+        if (attempt.idempotency == Idempotency::Idempotent)
+            return true;
+        return std::ranges::none_of(m_carried, [&id](const auto &carried) {
+            const auto earlier = carried.lock();
+            return earlier && earlier->id == id;
+        });
+    }
     [[nodiscard]] bool isIdle() const { return m_isOpen && !m_current; }
     [[nodiscard]] bool isOpen() const { return m_isOpen; }
     [[nodiscard]] TimePoint idleSince() const { return m_idleSince; }
@@ -65,7 +83,10 @@
     TimePoint m_openedAt;
     TimePoint m_idleSince;
     bool m_isOpen = false;
+    bool m_isUnused = true;
     AttemptPtr m_current;
+    /// The requests sent so far that have not ended.
+    std::vector<std::weak_ptr<const CallerRequest>> m_carried;
     std::unique_ptr<ServerLink> m_link;
 };
 
@@ -276,7 +297,7 @@
     const TimePoint now = m_context.timer.now();
     Connection *best = nullptr;
     for (const auto &connection : m_connections) {
-        if (!connection->isIdle())
+        if (!connection->isIdle() || !connection->canCarry(attempt))
             continue;
         const Duration idle = now - connection->idleSince();
         // A server may close an idle connection at any time, and a request sent at that moment is
--- a/modules/gateway/tests/CallTest.cpp
+++ b/modules/gateway/tests/CallTest.cpp
@@ -125,6 +125,25 @@
     EXPECT_EQ(executedCount(shardCount), 0);
 }
 
+// Guards against a late second copy of a rejection that counts as the reply to the same request,
+// sent again on the same connection: the request would be executed twice.
+TEST_F(CallTest, RequestIsNotSentAgainOnTheSameConnection)
+{
+    instance.policy.extraAttempts.allowance = 1000;
+    changeBehaviourOf(shardCount, [](ServerBehaviour &behaviour) { behaviour.refusalRate = 0.9; });
+    for (int number = 0; number < 20; ++number) {
+        instance.sendRequest("r" + std::to_string(number), "/once/x", seconds(15), "POST");
+        scheduler.runFor(seconds(2));
+    }
+    int arrived = 0;
+    for (int server = 0; server < 2; ++server) {
+        const ServerCounters &counters = servers.counters(addressOf(shardCount, server));
+        EXPECT_EQ(counters.repeatedOnConnection, 0);
+        arrived += counters.arrived;
+    }
+    EXPECT_GT(arrived, 60) << "requests are sent again on other connections";
+}
+
 TEST_F(CallTest, NonIdempotentRequestIsRetriedAfterAServerRefusesIt)
 {
     servers.behaviour(addressOf(shardCount, 0)).refusalRate = 1;
--- a/modules/gateway/tests/support/SimulatedServers.cpp
+++ b/modules/gateway/tests/support/SimulatedServers.cpp
@@ -1,6 +1,7 @@
 #include "SimulatedServers.h"
 
 #include <algorithm>
+#include <set>
 
 namespace oleander::gateway::testing {
 
@@ -14,6 +15,7 @@
         ServerLinkListener *listener = nullptr;
         bool isOpen = false;
         std::shared_ptr<Work> work;
+        std::set<std::string> carriedIds;
     };
 
     Link(SimulatedServers &owner, Server &server, ServerLinkListener &listener);
@@ -173,6 +175,8 @@
         return;
     ++server.counters.arrived;
     server.counters.arrivalTimes.push_back(m_scheduler.now());
+    if (!work->link->carriedIds.insert(work->request->id.text()).second)
+        ++server.counters.repeatedOnConnection;
     ServerReply refusal;
     refusal.status = 503;
     refusal.isNotExecuted = true;
--- a/modules/gateway/tests/support/SimulatedServers.h
+++ b/modules/gateway/tests/support/SimulatedServers.h
@@ -58,6 +58,8 @@
     int connectionsRefused = 0;
     std::vector<std::string> executedIds;
     std::vector<TimePoint> arrivalTimes;
+    /// Requests that came again on the connection that had carried them before.
+    int repeatedOnConnection = 0;
 };
 
 /// Backend servers in virtual time, reached over links with a fixed network delay.
