Changes of the registry too large for one answer lead to a full read at once

Cause: one bound for pages, which are limited, and for changes, which are not; and a failure that said nothing of size. Change: an answer beyond the bound is its own error; the follower reads the content again at once, in pages, logs it and counts it.

--- a/modules/adapters/include/oleander/adapters/gateway/HttpGetter.h
+++ b/modules/adapters/include/oleander/adapters/gateway/HttpGetter.h
@@ -20,6 +20,8 @@
 {
     int status = 0;
     std::string body;
+    /// The body exceeds the limit and was not read; it is empty here.
+    bool isTooLarge = false;
 };
 
 /// GET requests to one address, one at a time, over a connection that is kept. A call that fails or
--- a/modules/adapters/src/gateway/HttpGetter.cpp
+++ b/modules/adapters/src/gateway/HttpGetter.cpp
@@ -111,6 +111,15 @@
 
     void onRead(const error_code &error)
     {
+        const bool isBeyondLimit = error == http::error::body_limit
+                                   || (!error && m_parser->get().body().size() > m_largestBody);
+        if (isBeyondLimit) {
+            const int status = static_cast<int>(m_parser->get().result_int());
+            m_parser.reset();
+            disconnect();
+            finish(HttpGetAnswer{status, {}, true});
+            return;
+        }
         if (error) {
             onBroken();
             return;
@@ -118,7 +127,8 @@
         auto message = m_parser->release();
         if (!message.keep_alive() || m_in.size() > 0)
             disconnect();
-        finish(HttpGetAnswer{static_cast<int>(message.result_int()), std::move(message.body())});
+        finish(HttpGetAnswer{static_cast<int>(message.result_int()), std::move(message.body()),
+                             false});
     }
 
     /// A kept connection may have been closed at the other end; that is tried once more.
--- a/modules/core/include/oleander/core/Event.h
+++ b/modules/core/include/oleander/core/Event.h
@@ -33,6 +33,7 @@
     ServerGone = 224,
     RegistrySourceChanged = 225,
     RegistryReaderFailed = 226,
+    RegistryAnswerTooLarge = 227,
     QueryRefused = 300,
     QueryPartial = 301,
     QueryFailed = 302,
--- a/modules/core/src/Event.cpp
+++ b/modules/core/src/Event.cpp
@@ -49,6 +49,9 @@
               "the source of the registry's content changed: an instance or the registry"},
     EventInfo{EventId::RegistryReaderFailed, Warning, "RegistryReaderFailed",
               "an instance that reads the registry for this one failed; it is not asked for now"},
+    EventInfo{
+        EventId::RegistryAnswerTooLarge, Warning, "RegistryAnswerTooLarge",
+        "the changes of the registry are too large for one answer; its content is read again"},
     EventInfo{EventId::QueryRefused, Info, "QueryRefused", "a query was refused and not executed"},
     EventInfo{EventId::QueryPartial, Info, "QueryPartial",
               "an answer does not cover all requested shards"},
--- a/modules/gateway/include/oleander/gateway/Registry.h
+++ b/modules/gateway/include/oleander/gateway/Registry.h
@@ -24,6 +24,8 @@
     HistoryGone,
     /// The answer could not be parsed.
     Malformed,
+    /// The answer is larger than any page of the content, and was not read.
+    TooLarge,
 };
 
 struct RegistryAnswer
--- a/modules/gateway/include/oleander/gateway/RegistryFollower.h
+++ b/modules/gateway/include/oleander/gateway/RegistryFollower.h
@@ -63,6 +63,8 @@
     /// confirmed with the registry that there were no further changes. Nothing before the first
     /// content.
     [[nodiscard]] std::optional<Duration> age() const;
+    /// Number of watches whose changes were too large for one answer.
+    [[nodiscard]] std::uint64_t oversizedWatches() const { return m_oversizedWatches; }
 
 private:
     void readPage(const std::string &afterKey);
@@ -86,6 +88,7 @@
     std::optional<RegistryRevision> m_firstPageRevision;
     RegistryRevision m_revision = 0;
     int m_failures = 0;
+    std::uint64_t m_oversizedWatches = 0;
     TimePoint m_callStarted{};
     TimePoint m_listStarted{};
     std::optional<TimePoint> m_lastSuccess;
--- a/modules/gateway/src/RegistryFollower.cpp
+++ b/modules/gateway/src/RegistryFollower.cpp
@@ -21,6 +21,8 @@
         return "historyGone";
     case RegistryError::Malformed:
         return "malformed";
+    case RegistryError::TooLarge:
+        return "tooLarge";
     }
     return "unknown";
 }
@@ -102,6 +104,14 @@
 
 void RegistryFollower::onWatched(const RegistryAnswer &answer)
 {
+    if (answer.error == RegistryError::TooLarge) {
+        // The same watch would return even more. The content, in pages, is not larger than ever.
+        ++m_oversizedWatches;
+        m_log.record(EventId::RegistryAnswerTooLarge, {},
+                     {{"prefix", m_prefix}, {"after", m_revision}});
+        restart();
+        return;
+    }
     if (answer.error != RegistryError::None) {
         retryAfter(answer.error, answer.error == RegistryError::HistoryGone);
         return;
--- a/modules/gateway/tests/RegistryFollowerTest.cpp
+++ b/modules/gateway/tests/RegistryFollowerTest.cpp
@@ -103,6 +103,23 @@
     EXPECT_EQ(changes.size(), 1U);
 }
 
+// Guards against watches that fail, and whose next answer is larger still, until the registry drops
+// its history.
+TEST_F(RegistryFollowerTest, ReadsAllItemsAtOnceWhenTheChangesAreTooLarge)
+{
+    registry.answers = {page({"p/a"}, 7), failure(RegistryError::TooLarge), page({"p/b"}, 20),
+                        page({"p/c"}, 21)};
+    follower.start();
+    scheduler.runFor(milliseconds(100));
+    const std::vector<std::string> expected{"list ", "watch 7", "list ", "watch 20"};
+    ASSERT_GE(registry.calls.size(), expected.size());
+    EXPECT_TRUE(std::equal(expected.begin(), expected.end(), registry.calls.begin()));
+    EXPECT_EQ(items.front().key, "p/b");
+    EXPECT_EQ(changes.front().key, "p/c");
+    EXPECT_EQ(log.count(EventId::RegistryAnswerTooLarge), 1U);
+    EXPECT_EQ(recoveries, 0) << "the registry was not away";
+}
+
 TEST_F(RegistryFollowerTest, ReadsAllItemsAgainWhenTheHistoryIsGone)
 {
     registry.answers = {page({"p/a"}, 7), failure(RegistryError::HistoryGone), page({"p/b"}, 20)};
