Requests that wait for a server move on when it stops being usable

Cause: a drain only kept new requests away. The class: a server also stops being usable when it is ejected with another connection still opening, when another server answers at its address, and when it starts anew. Change: in each of these cases requests that have not been sent go back to their calls, which choose another server; connections of the process before are closed.

--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -98,6 +98,8 @@
     /// Checks on a new connection whether the server, which closed one under a request, has ended.
     void checkEnded(const AttemptPtr &attempt);
     void onChecked(bool hasEnded);
+    /// Returns requests that have not been sent to their calls, which choose another server. Called
+    /// whenever the server stops being usable.
     void failWaiting();
     /// Ends an attempt whose result nobody needs.
     void drop(const AttemptPtr &attempt);
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -171,7 +171,11 @@
         m_rateLimit.reset();
         m_score = {};
         m_score.warmUpUntil = m_context.timer.now() + m_registration.warmUpLeft;
+        // They lead to the process before.
+        std::erase_if(m_connections, [](const auto &connection) { return !connection->current(); });
     }
+    if (isRestarted || !isUsable())
+        failWaiting();
 }
 
 void BackendServer::retire()
@@ -382,7 +386,7 @@
                               {"service", m_registration.service.text()},
                               {"cause", "connection not opened"},
                               {"forMs", inMilliseconds(ejectionTime)}});
-        if (m_connections.empty()) {
+        if (isEjected()) {
             failWaiting();
             return;
         }
@@ -454,6 +458,7 @@
                              {{"server", m_registration.id.text()},
                               {"service", m_registration.service.text()},
                               {"cause", "another server has its address"}});
+        failWaiting();
         return;
     }
     switch (result.outcome) {
--- a/modules/gateway/tests/ServerFleetTest.cpp
+++ b/modules/gateway/tests/ServerFleetTest.cpp
@@ -105,6 +105,72 @@
     EXPECT_LE(servers.counters(addressOf(shardCount, 0)).arrived, 1);
 }
 
+/// A server that stops being usable while requests wait for a connection to it.
+struct WaitingRequestsTest : ServerFleetTest
+{
+    /// Sends more requests than the servers' connections carry, lets `change` make the first server
+    /// unusable, and expects that it gets none of those that waited, and that the second server
+    /// answers all of these.
+    void expectWaitingRequestsToMove(const std::string &path, const std::function<void()> &change)
+    {
+        servers.executionTime = [](const CallerRequest &, std::mt19937_64 &) {
+            return milliseconds(10);
+        };
+        for (int server = 0; server < 2; ++server)
+            servers.behaviour(addressOf(shardCount, server)).slots = 100;
+        // One connection to each server.
+        instance.policy.instances = 58;
+        instance.fleet.onInstanceCountChanged();
+        std::vector<std::shared_ptr<ReceivedAnswer>> sent;
+        for (int number = 0; number < 20; ++number)
+            sent.push_back(instance.sendRequest("r" + std::to_string(number), path, seconds(15)));
+        scheduler.runFor(milliseconds(5));
+        const int before = servers.counters(addressOf(shardCount, 0)).arrived;
+        ASSERT_LT(before, 5);
+        change();
+        scheduler.runFor(seconds(2));
+        EXPECT_LE(servers.counters(addressOf(shardCount, 0)).arrived, before);
+        for (const auto &received : sent) {
+            ASSERT_TRUE(received->answer);
+            EXPECT_EQ(received->answer->status, 200) << received->id;
+        }
+    }
+};
+
+// Guards against requests that may be executed once and follow a server into its drain.
+TEST_F(WaitingRequestsTest, MoveWhenTheServerDrains)
+{
+    expectWaitingRequestsToMove("/once/x", [this] {
+        ServerRegistration draining = registrationOf(shardCount, 0);
+        draining.isDraining = true;
+        instance.fleet.onRegistration(draining.id, &draining);
+    });
+}
+
+TEST_F(WaitingRequestsTest, MoveWhenTheServerIsGone)
+{
+    expectWaitingRequestsToMove("/once/x", [this] {
+        instance.fleet.onRegistration(registrationOf(shardCount, 0).id, nullptr);
+    });
+}
+
+TEST_F(WaitingRequestsTest, MoveWhenTheServerHasAnotherAddress)
+{
+    expectWaitingRequestsToMove("/once/x", [this] {
+        ServerRegistration moved = registrationOf(shardCount, 0);
+        moved.address = addressOf(shardCount, 7);
+        moved.isDraining = true;
+        instance.fleet.onRegistration(moved.id, &moved);
+    });
+}
+
+TEST_F(WaitingRequestsTest, MoveWhenAnotherServerHasTheAddress)
+{
+    // The request in flight shows it.
+    servers.behaviour(addressOf(shardCount, 0)).isReplaced = true;
+    expectWaitingRequestsToMove("/once/x", [] {});
+}
+
 /// 48 instances and one service of three servers with a connection cap. Instances and servers are
 /// spread over three data centres.
 struct ConnectionCapTest : ::testing::Test
