A server that says in its answers that it is leaving gets no further requests

So far only the registry's word counted.

Change: the server's and the registry's word are one state of the server; its own ends with a new start or another address. What waits for it moves.

--- a/modules/adapters/include/oleander/adapters/gateway/HeaderNames.h
+++ b/modules/adapters/include/oleander/adapters/gateway/HeaderNames.h
@@ -19,6 +19,8 @@
     std::string notExecuted;
     /// A server's load: running, waiting, slots.
     std::string reportedLoad;
+    /// Present when a server is leaving.
+    std::string leaving;
     /// Requests per second that a server accepts from all instances together.
     std::string rateLimit;
 };
--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -300,6 +300,7 @@
         reply.receipt = std::string(message[m_names.receipt]);
         reply.isMisdirected = reply.status == gateway::statusMisdirected;
         reply.isNotExecuted = message.find(m_names.notExecuted) != message.end();
+        reply.isLeaving = viewOf(message[m_names.leaving]) == "1";
         reply.rateLimit = parseRate(viewOf(message[m_names.rateLimit]));
         reply.load = parseLoad(viewOf(message[m_names.reportedLoad]));
         return reply;
--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -42,8 +42,8 @@
     /// Send time of the oldest request that has no reply yet.
     [[nodiscard]] std::optional<TimePoint> oldestSendTime() const;
     [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
-    /// True when new work may be sent: the server is registered and not draining, and its address
-    /// is not used by another server.
+    /// True when new work may be sent: the server is registered, neither the registry nor an answer
+    /// of its own says that it is leaving, and its address is not used by another server.
     [[nodiscard]] bool isUsable() const;
     /// True while the server is ejected after a failed connection attempt and has no open
     /// connection. No requests are sent to it then.
@@ -106,6 +106,7 @@
     void finish(const AttemptPtr &attempt, AttemptResult result);
     void recordResult(const Attempt &attempt, const AttemptResult &result);
     void noteRateLimit(const AttemptResult &result);
+    void noteLeaving();
     /// Removes the connection from the list and returns it, or null if it is no longer listed.
     std::unique_ptr<Connection> detach(Connection &connection);
 
@@ -120,6 +121,8 @@
     std::optional<double> m_statedRate;
     std::optional<RateLimit> m_rateLimit;
     bool m_isRetired = false;
+    /// An answer has said that the server is leaving. Reset as below.
+    bool m_isLeaving = false;
     /// Another server answered at this address. Reset by a registration with a new start time or
     /// address.
     bool m_isAddressReused = false;
--- a/modules/gateway/include/oleander/gateway/HttpMessage.h
+++ b/modules/gateway/include/oleander/gateway/HttpMessage.h
@@ -70,6 +70,8 @@
     /// A server other than the expected one uses this address.
     bool isMisdirected = false;
     std::optional<ReportedLoad> load;
+    /// The server states that it is leaving.
+    bool isLeaving = false;
     /// Requests per second that the server accepts from all instances together, if it states this.
     std::optional<double> rateLimit;
 };
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -129,7 +129,7 @@
 
 bool BackendServer::isUsable() const
 {
-    return !m_isRetired && !m_isAddressReused && !m_registration.isDraining;
+    return !m_isRetired && !m_isLeaving && !m_isAddressReused && !m_registration.isDraining;
 }
 
 bool BackendServer::isEjected() const
@@ -167,6 +167,7 @@
     m_registration = std::move(registration);
     if (isRestarted) {
         m_isAddressReused = false;
+        m_isLeaving = false;
         m_statedRate.reset();
         m_rateLimit.reset();
         m_score = {};
@@ -452,6 +453,8 @@
     if (result.reply.load)
         noteLoad(m_score, *result.reply.load, now);
     noteRateLimit(result);
+    if (result.reply.isLeaving && !result.reply.isMisdirected)
+        noteLeaving();
     if (result.reply.isMisdirected) {
         m_isAddressReused = true;
         m_context.log.record(EventId::ServerEjected, attempt.request->id,
@@ -480,6 +483,19 @@
     }
 }
 
+void BackendServer::noteLeaving()
+{
+    if (std::exchange(m_isLeaving, true))
+        return;
+    if (!m_registration.isDraining) {
+        m_context.log.record(EventId::ServerDraining, {},
+                             {{"server", m_registration.id.text()},
+                              {"service", m_registration.service.text()},
+                              {"source", "answer of the server"}});
+    }
+    failWaiting();
+}
+
 void BackendServer::noteRateLimit(const AttemptResult &result)
 {
     const std::optional<double> stated = result.reply.rateLimit;
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -91,9 +91,10 @@
     auto &held = m_servers[server];
     if (held) {
         if (registration->isDraining && !held->registration().isDraining) {
-            m_context.log.record(
-                EventId::ServerDraining, {},
-                {{"server", server.text()}, {"service", registration->service.text()}});
+            m_context.log.record(EventId::ServerDraining, {},
+                                 {{"server", server.text()},
+                                  {"service", registration->service.text()},
+                                  {"source", "registry"}});
         }
         held->update(*registration);
         return;
--- a/modules/gateway/tests/ServerFleetTest.cpp
+++ b/modules/gateway/tests/ServerFleetTest.cpp
@@ -147,6 +147,39 @@
     });
 }
 
+// Guards against taking the news of a leaving server from the registry only.
+TEST_F(WaitingRequestsTest, MoveWhenTheServerSaysThatItIsLeaving)
+{
+    expectWaitingRequestsToMove(
+        "/once/x", [this] { servers.behaviour(addressOf(shardCount, 0)).isLeaving = true; });
+}
+
+// The registry may say for seconds that a server which is leaving is ready.
+TEST_F(ServerFleetTest, ServerThatSaysThatItIsLeavingGetsNoRequestUntilItStartsAnew)
+{
+    servers.behaviour(addressOf(shardCount, 0)).isLeaving = true;
+    const auto send = [this](int count) {
+        for (int number = 0; number < count; ++number) {
+            const auto received =
+                instance.sendRequest("r" + std::to_string(number), "/one/x", seconds(15));
+            scheduler.runFor(milliseconds(20));
+            ASSERT_TRUE(received->answer);
+            EXPECT_EQ(received->answer->status, 200);
+        }
+    };
+    send(50);
+    EXPECT_EQ(servers.counters(addressOf(shardCount, 0)).arrived, 1);
+    ServerRegistration renewed = registrationOf(shardCount, 0);
+    instance.fleet.onRegistration(renewed.id, &renewed);
+    send(50);
+    EXPECT_EQ(servers.counters(addressOf(shardCount, 0)).arrived, 1) << "a renewal is no new start";
+    servers.behaviour(addressOf(shardCount, 0)).isLeaving = false;
+    renewed.startedAt = 2;
+    instance.fleet.onRegistration(renewed.id, &renewed);
+    send(50);
+    EXPECT_GT(servers.counters(addressOf(shardCount, 0)).arrived, 5);
+}
+
 TEST_F(WaitingRequestsTest, MoveWhenTheServerIsGone)
 {
     expectWaitingRequestsToMove("/once/x", [this] {
--- a/modules/gateway/tests/support/SimulatedServers.cpp
+++ b/modules/gateway/tests/support/SimulatedServers.cpp
@@ -180,6 +180,7 @@
     ServerReply refusal;
     refusal.status = 503;
     refusal.isNotExecuted = true;
+    refusal.isLeaving = behaviour.isLeaving;
     if (behaviour.isReplaced) {
         refusal.status = 421;
         refusal.isMisdirected = true;
@@ -254,6 +255,7 @@
                                                                       : 200;
     answer.receipt = "receipt-" + std::to_string(++m_receiptCount);
     answer.body = makeBody(*work->request, server.address);
+    answer.isLeaving = server.behaviour.isLeaving;
     answer.rateLimit = server.behaviour.rateLimit;
     answer.load = ReportedLoad{static_cast<int>(server.running.size()),
                                static_cast<int>(server.waiting.size()), server.behaviour.slots};
