A server that asks for a pause gets no request until its end

So far it was one more failed attempt, and the server was tried again.

Change: no request, retry or hedge goes to it until then, and what waits for it moves. The longest time stated counts. Where no server of a service, or of too many shards, takes a request in time, callers are refused at once with the soonest time at which it can be taken.

--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -52,13 +52,24 @@
     return gateway::ReportedLoad{numbers[0], numbers[1], numbers[2]};
 }
 
-std::optional<double> parseRate(std::string_view text)
+std::optional<double> parseDecimal(std::string_view text)
 {
-    double rate = 0;
-    const auto result = std::from_chars(text.data(), text.data() + text.size(), rate);
-    if (result.ec != std::errc{} || !std::isfinite(rate) || rate < 0)
+    double number = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (result.ec != std::errc{} || !std::isfinite(number) || number < 0)
         return std::nullopt;
-    return rate;
+    return number;
+}
+
+/// A delay in seconds, which may have fractions. A date is not understood.
+std::optional<Duration> parseDelay(std::string_view text)
+{
+    constexpr double longest = 86'400;
+    const auto number = parseDecimal(text);
+    if (!number)
+        return std::nullopt;
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(std::min(*number, longest)));
 }
 
 /// The time in "timeout=5, max=100".
@@ -300,8 +311,10 @@
         reply.receipt = std::string(message[m_names.receipt]);
         reply.isMisdirected = reply.status == gateway::statusMisdirected;
         reply.isNotExecuted = message.find(m_names.notExecuted) != message.end();
+        if (reply.status == gateway::statusUnavailable)
+            reply.retryAfter = parseDelay(viewOf(message[http::field::retry_after]));
         reply.isLeaving = viewOf(message[m_names.leaving]) == "1";
-        reply.rateLimit = parseRate(viewOf(message[m_names.rateLimit]));
+        reply.rateLimit = parseDecimal(viewOf(message[m_names.rateLimit]));
         reply.load = parseLoad(viewOf(message[m_names.reportedLoad]));
         return reply;
     }
--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -51,7 +51,8 @@
     /// True when this instance has no request in flight to the server and the last load report
     /// shows a short queue.
     [[nodiscard]] bool hasSpareCapacity() const;
-    /// Time until the server accepts a request of this instance; zero unless it limits the rate.
+    /// Time until the server accepts a request of this instance; zero unless it limits the rate or
+    /// has turned one away.
     [[nodiscard]] Duration untilAccepting() const;
     [[nodiscard]] bool isRateLimited() const { return m_rateLimit.has_value(); }
 
@@ -107,6 +108,7 @@
     void recordResult(const Attempt &attempt, const AttemptResult &result);
     void noteRateLimit(const AttemptResult &result);
     void noteLeaving();
+    void noteTurnedAway(Duration retryAfter);
     /// Removes the connection from the list and returns it, or null if it is no longer listed.
     std::unique_ptr<Connection> detach(Connection &connection);
 
@@ -120,6 +122,8 @@
     /// The rate that the server has stated, and this instance's share of it.
     std::optional<double> m_statedRate;
     std::optional<RateLimit> m_rateLimit;
+    /// Until this time the server wants no requests of this instance.
+    TimePoint m_turnedAwayUntil{};
     bool m_isRetired = false;
     /// An answer has said that the server is leaving. Reset as below.
     bool m_isLeaving = false;
--- a/modules/gateway/include/oleander/gateway/HttpMessage.h
+++ b/modules/gateway/include/oleander/gateway/HttpMessage.h
@@ -70,6 +70,9 @@
     /// A server other than the expected one uses this address.
     bool isMisdirected = false;
     std::optional<ReportedLoad> load;
+    /// Time for which the server, which has turned the request away, wants no other one of this
+    /// instance.
+    std::optional<Duration> retryAfter;
     /// The server states that it is leaving.
     bool isLeaving = false;
     /// Requests per second that the server accepts from all instances together, if it states this.
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -143,13 +143,15 @@
 {
     // Load reports are slightly outdated, so a short reported queue is probably empty by now.
     constexpr double shortQueue = 0.5;
-    return !m_rateLimit && inFlight() == 0
+    return !m_rateLimit && untilAccepting() == Duration{} && inFlight() == 0
            && reportedQueue(m_score, m_context.timer.now()) <= shortQueue;
 }
 
 Duration BackendServer::untilAccepting() const
 {
-    return m_rateLimit ? untilToken(*m_rateLimit, m_context.timer.now()) : Duration{};
+    const TimePoint now = m_context.timer.now();
+    const Duration untilRate = m_rateLimit ? untilToken(*m_rateLimit, now) : Duration{};
+    return std::max({Duration{}, untilRate, m_turnedAwayUntil - now});
 }
 
 void BackendServer::setRateSharing(int instances, double initialTokens)
@@ -168,6 +170,7 @@
     if (isRestarted) {
         m_isAddressReused = false;
         m_isLeaving = false;
+        m_turnedAwayUntil = {};
         m_statedRate.reset();
         m_rateLimit.reset();
         m_score = {};
@@ -455,6 +458,8 @@
     noteRateLimit(result);
     if (result.reply.isLeaving && !result.reply.isMisdirected)
         noteLeaving();
+    if (result.reply.retryAfter && !result.reply.isMisdirected)
+        noteTurnedAway(*result.reply.retryAfter);
     if (result.reply.isMisdirected) {
         m_isAddressReused = true;
         m_context.log.record(EventId::ServerEjected, attempt.request->id,
@@ -496,6 +501,21 @@
     failWaiting();
 }
 
+void BackendServer::noteTurnedAway(Duration retryAfter)
+{
+    const TimePoint now = m_context.timer.now();
+    // Attempts that were in flight may be answered with a shorter time.
+    if (now + retryAfter <= m_turnedAwayUntil)
+        return;
+    m_turnedAwayUntil = now + retryAfter;
+    m_context.log.record(EventId::ServerEjected, {},
+                         {{"server", m_registration.id.text()},
+                          {"service", m_registration.service.text()},
+                          {"cause", "the server asked for a pause"},
+                          {"forMs", inMilliseconds(retryAfter)}});
+    failWaiting();
+}
+
 void BackendServer::noteRateLimit(const AttemptResult &result)
 {
     const std::optional<double> stated = result.reply.rateLimit;
--- a/modules/gateway/src/CallBase.cpp
+++ b/modules/gateway/src/CallBase.cpp
@@ -125,11 +125,11 @@
             "not run: " + std::string(cause) + "\n"});
 }
 
-void CallBase::refuseLater(std::string_view cause)
+void CallBase::refuseLater(std::string_view cause, Duration retryAfter)
 {
-    m_gateway.m_timer.post([self = weak_from_this(), cause] {
+    m_gateway.m_timer.post([self = weak_from_this(), cause, retryAfter] {
         if (const auto call = self.lock())
-            call->refuse(cause);
+            call->refuse(cause, retryAfter);
     });
 }
 
--- a/modules/gateway/src/Calls.h
+++ b/modules/gateway/src/Calls.h
@@ -80,7 +80,7 @@
     /// `retryAfter` is when the caller may come back, if that is later than usual.
     void refuse(std::string_view cause, Duration retryAfter = {});
     /// Refuses after the current event has been handled. `cause` must be a string literal.
-    void refuseLater(std::string_view cause);
+    void refuseLater(std::string_view cause, Duration retryAfter = {});
     /// Returns true if servers were lost while they executed the request, and refuses it then.
     bool refuseIfCrashing();
     /// Ends the call without a result, although a server may have executed the request.
@@ -167,7 +167,10 @@
         std::vector<std::size_t> shards;
     };
 
-    [[nodiscard]] bool isAnyShardReachable(std::size_t required) const;
+    /// Number of shards that can take the request before its deadline.
+    [[nodiscard]] std::size_t reachableShards() const;
+    /// Time until as many shards as an answer requires can take the request.
+    [[nodiscard]] Duration untilAnswerable() const;
     /// Hands shards to coordinators in other data centres. Returns the shards that are left.
     std::vector<std::size_t> delegateShards(std::vector<std::size_t> shards);
     void askShard(std::size_t shard, bool isRerun);
@@ -197,6 +200,8 @@
     /// Records of single parts, and of merged parts.
     std::vector<std::string> m_bodies;
     std::size_t m_pendingShards = 0;
+    /// When the shards that could not take the request do so again.
+    Duration m_retryAfter{};
     bool m_isPartialAllowed = false;
     bool m_anyRan = false;
     Subscription m_objectiveTimer;
--- a/modules/gateway/src/GatherCall.cpp
+++ b/modules/gateway/src/GatherCall.cpp
@@ -51,8 +51,8 @@
 {
     if (refuseIfCrashing())
         return;
-    if (!terms().isForSomeShards() && !isAnyShardReachable(m_requiredShards)) {
-        refuseLater("too many shards without a server");
+    if (!terms().isForSomeShards() && reachableShards() < m_requiredShards) {
+        refuseLater("too many shards without a server", untilAnswerable());
         return;
     }
     m_parts.reserve(m_shardCount);
@@ -66,12 +66,28 @@
         std::max(Duration{}, untilAnswerBy), [this](const TimerTick &) { onObjectiveTimer(); });
 }
 
-bool GatherCall::isAnyShardReachable(std::size_t required) const
+std::size_t GatherCall::reachableShards() const
 {
-    const auto reachable = std::ranges::count_if(m_route.shards, [this](const ServiceId &shard) {
-        return m_gateway.m_fleet.pool(shard).hasUsableServer();
-    });
-    return static_cast<std::size_t>(reachable) >= required;
+    const Duration left = m_deadline - m_gateway.m_timer.now();
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_route.shards, [this, left](const ServiceId &shard) {
+            const ServicePool &pool = m_gateway.m_fleet.pool(shard);
+            return pool.hasUsableServer() && pool.untilAccepting() < left;
+        }));
+}
+
+Duration GatherCall::untilAnswerable() const
+{
+    std::vector<Duration> waits;
+    for (const ServiceId &shard : m_route.shards) {
+        const ServicePool &pool = m_gateway.m_fleet.pool(shard);
+        if (pool.hasUsableServer())
+            waits.push_back(pool.untilAccepting());
+    }
+    if (waits.size() < m_requiredShards)
+        return {};
+    std::ranges::sort(waits);
+    return waits[m_requiredShards - 1];
 }
 
 std::vector<std::size_t> GatherCall::delegateShards(std::vector<std::size_t> shards)
@@ -200,6 +216,7 @@
 {
     --m_pendingShards;
     m_anyRan = m_anyRan || outcome.ran != ExecutionState::NotRun;
+    m_retryAfter = std::max(m_retryAfter, outcome.retryAfter);
     if (isValidPart(outcome)) {
         m_parts.push_back({shard, std::move(outcome.reply->receipt)});
         m_bodies.push_back(std::move(outcome.reply->body));
@@ -271,7 +288,7 @@
 void GatherCall::failIncomplete()
 {
     if (ranState() == ExecutionState::NotRun)
-        refuse("too few shards could take the request");
+        refuse("too few shards could take the request", m_retryAfter);
     else
         fail(statusBadGateway, "too few shards answered");
 }
--- a/modules/gateway/tests/ServerFleetTest.cpp
+++ b/modules/gateway/tests/ServerFleetTest.cpp
@@ -105,6 +105,57 @@
     EXPECT_LE(servers.counters(addressOf(shardCount, 0)).arrived, 1);
 }
 
+// Guards against requests to a server that has asked this instance for a pause.
+TEST_F(ServerFleetTest, ServerThatAsksForAPauseGetsNoRequestUntilItsEnd)
+{
+    ServerBehaviour &behaviour = servers.behaviour(addressOf(shardCount, 0));
+    behaviour.refusalRate = 1;
+    behaviour.retryAfter = seconds(3);
+    instance.policy.extraAttempts.allowance = 1000;
+    const auto send = [this](int count) {
+        for (int number = 0; number < count; ++number) {
+            const auto received =
+                instance.sendRequest("r" + std::to_string(number), "/one/x", seconds(15));
+            scheduler.runFor(milliseconds(20));
+            ASSERT_TRUE(received->answer);
+            EXPECT_EQ(received->answer->status, 200);
+        }
+    };
+    send(100);
+    EXPECT_EQ(servers.counters(addressOf(shardCount, 0)).arrived, 1);
+    behaviour.refusalRate = 0;
+    scheduler.runFor(seconds(2));
+    send(200);
+    EXPECT_GT(servers.counters(addressOf(shardCount, 0)).arrived, 5);
+}
+
+TEST_F(ServerFleetTest, CallersAreToldAtOnceWhenServersThatAskedForAPauseAcceptRequestsAgain)
+{
+    for (int service = 0; service <= shardCount; ++service) {
+        for (int server = 0; server < 2; ++server) {
+            ServerBehaviour &behaviour = servers.behaviour(addressOf(service, server));
+            behaviour.refusalRate = 1;
+            behaviour.retryAfter = seconds(server == 0 ? 8 : 5);
+        }
+    }
+    instance.policy.extraAttempts.allowance = 1000;
+    for (const char *path : {"/once/x", "/gather/x"}) {
+        instance.sendRequest("first", path, seconds(3));
+        scheduler.runFor(seconds(1));
+        const auto received = instance.sendRequest("second", path, seconds(3));
+        scheduler.runFor(milliseconds(1));
+        ASSERT_TRUE(received->answer) << path << ": refused at once";
+        EXPECT_EQ(received->answer->status, 503);
+        const double retryAfter = std::stod(received->answer->fields.front().value);
+        EXPECT_GE(retryAfter, 3.0) << path;
+        EXPECT_LE(retryAfter, 5.0) << path << ": the soonest time";
+        for (int service = 0; service <= shardCount; ++service) {
+            for (int server = 0; server < 2; ++server)
+                EXPECT_LE(servers.counters(addressOf(service, server)).arrived, 1) << path;
+        }
+    }
+}
+
 /// A server that stops being usable while requests wait for a connection to it.
 struct WaitingRequestsTest : ServerFleetTest
 {
@@ -180,6 +231,14 @@
     EXPECT_GT(servers.counters(addressOf(shardCount, 0)).arrived, 5);
 }
 
+TEST_F(WaitingRequestsTest, MoveWhenTheServerAsksForAPause)
+{
+    instance.policy.extraAttempts.allowance = 1000;
+    servers.behaviour(addressOf(shardCount, 0)).refusalRate = 1;
+    servers.behaviour(addressOf(shardCount, 0)).retryAfter = seconds(5);
+    expectWaitingRequestsToMove("/once/x", [] {});
+}
+
 TEST_F(WaitingRequestsTest, MoveWhenTheServerIsGone)
 {
     expectWaitingRequestsToMove("/once/x", [this] {
--- a/modules/gateway/tests/support/SimulatedServers.cpp
+++ b/modules/gateway/tests/support/SimulatedServers.cpp
@@ -181,6 +181,7 @@
     refusal.status = 503;
     refusal.isNotExecuted = true;
     refusal.isLeaving = behaviour.isLeaving;
+    refusal.retryAfter = behaviour.retryAfter;
     if (behaviour.isReplaced) {
         refusal.status = 421;
         refusal.isMisdirected = true;
--- a/modules/gateway/tests/support/SimulatedServers.h
+++ b/modules/gateway/tests/support/SimulatedServers.h
@@ -30,6 +30,8 @@
     /// Fraction of requests that the server executes and then closes the connection without a
     /// reply.
     double lostReplyRate = 0;
+    /// Stated in refusals.
+    std::optional<Duration> retryAfter;
     /// The server states in its replies that it is leaving.
     bool isLeaving = false;
     /// The rate of requests that the server states in its replies.
