A request whose transfer coding is not just chunked is refused and its connection closed

Change: 400, and nothing more is read from the connection; the same for codings beside chunked, which would have to be decoded.

--- a/modules/adapters/src/gateway/IngressSession.cpp
+++ b/modules/adapters/src/gateway/IngressSession.cpp
@@ -38,6 +38,15 @@
     return milliseconds(number);
 }
 
+/// Whether the body's length is known: Beast takes a body whose last transfer coding is not chunked
+/// for an empty one, and what follows for another request. Other codings beside chunked would have
+/// to be decoded.
+bool isTransferCodingKnown(const http::fields &fields)
+{
+    const auto coding = fields.find(http::field::transfer_encoding);
+    return coding == fields.end() || beast::iequals(coding->value(), "chunked");
+}
+
 /// Beast accepts folded lines (obs-fold); what lies beyond may read them otherwise.
 bool hasFoldedLine(std::string_view head)
 {
@@ -147,6 +156,10 @@
         refuseMalformed(error);
         return;
     }
+    if (m_parser->is_header_done() && !isTransferCodingKnown(m_parser->get())) {
+        refuseMalformed(http::error::bad_transfer_encoding);
+        return;
+    }
     if (m_parser->is_done()) {
         onRequest();
         return;
--- a/modules/adapters/tests/gateway/CallerIngressTest.cpp
+++ b/modules/adapters/tests/gateway/CallerIngressTest.cpp
@@ -90,4 +90,21 @@
     EXPECT_TRUE(received.starts_with("HTTP/1.1 4")) << received;
 }
 
+// Guards against request smuggling: a body of unknown length that is taken for a request of its
+// own.
+TEST(CallerIngress, BodyThatIsNotChunkedAtLastIsRefusedAndTheConnectionClosed)
+{
+    for (const char *coding : {"gzip", "xchunked", "chunked, identity", "identity", "gzip, chunked",
+                               "chunked, chunked", ""}) {
+        for (const char *length : {"", "Content-Length: 5\r\n"}) {
+            const std::string received = responseTo(
+                std::string("POST /x HTTP/1.1\r\nHost: h\r\n") + length + "Transfer-Encoding: "
+                + coding + "\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+            EXPECT_TRUE(received.starts_with("HTTP/1.1 400 ")) << coding << received;
+            EXPECT_NE(received.find("Connection: close"), std::string::npos) << coding;
+            EXPECT_EQ(received.find("HTTP/1.1", 1), std::string::npos) << coding << received;
+        }
+    }
+}
+
 } // namespace
