An answer that its caller does not read is bounded in time

Cause: only the waits for a request had limits. Change: a connection whose answer has not been taken within the idle timeout of the configuration is closed and counted.

ConnectionWhoseAnswerIsNotReadIsClosed guards it; before, nothing closed the connection.

--- a/modules/adapters/include/oleander/adapters/gateway/CallerIngress.h
+++ b/modules/adapters/include/oleander/adapters/gateway/CallerIngress.h
@@ -27,6 +27,8 @@
     std::uint64_t requests = 0;
     std::uint64_t malformed = 0;
     std::uint64_t evicted = 0;
+    /// Connections closed because their callers did not read an answer.
+    std::uint64_t unread = 0;
 };
 
 /// HTTP/1.1 from callers: reads requests whole, answers them in order, and notices when a caller
--- a/modules/adapters/src/gateway/IngressSession.cpp
+++ b/modules/adapters/src/gateway/IngressSession.cpp
@@ -91,8 +91,12 @@
     const gateway::CallerLimits &limits = m_shared->limits;
     const Duration waited = now - m_waitingSince;
     if ((m_phase == Phase::Idle && !m_isWriting && waited > limits.idleTimeout)
-        || (m_phase == Phase::Receiving && waited > limits.headerTimeout))
+        || (m_phase == Phase::Receiving && waited > limits.headerTimeout)) {
         close();
+    } else if (m_isWriting && now - m_writingSince > limits.idleTimeout) {
+        ++m_shared->counts.unread;
+        close();
+    }
 }
 
 void IngressSession::read()
@@ -267,6 +271,7 @@
     if (!m_isHead)
         text += answer.body;
     m_isWriting = true;
+    m_writingSince = m_shared->timer.now();
     asio::async_write(m_socket, asio::buffer(m_out),
                       [self = shared_from_this()](const error_code &error, std::size_t) {
                           self->onWritten(error);
--- a/modules/adapters/src/gateway/IngressSession.h
+++ b/modules/adapters/src/gateway/IngressSession.h
@@ -37,7 +37,8 @@
     void start();
     /// Closes at once; a request that is under way is left.
     void close();
-    /// Closes when the caller has taken too long to send a request, or has sent none.
+    /// Closes when the caller has taken too long to send a request or to read an answer, or has
+    /// sent none.
     void closeIfOverdue(TimePoint now);
 
     /// A request is being answered.
@@ -69,6 +70,8 @@
     std::optional<Parser> m_parser;
     Phase m_phase = Phase::Idle;
     TimePoint m_waitingSince{};
+    /// When the answer that is being written was begun.
+    TimePoint m_writingSince{};
     bool m_isReading = false;
     bool m_isWriting = false;
     bool m_isClosing = false;
--- a/modules/adapters/tests/gateway/CallerIngressTest.cpp
+++ b/modules/adapters/tests/gateway/CallerIngressTest.cpp
@@ -107,4 +107,38 @@
     }
 }
 
+// Guards against callers that do not read their answers and keep the memory of these without end.
+TEST(CallerIngress, ConnectionWhoseAnswerIsNotReadIsClosed)
+{
+    asio::io_context context;
+    AsioTimerService timer(context);
+    HeaderNames names;
+    names.requestId = "Request-Id";
+    names.callerTimeout = "Timeout";
+    names.expectedServer = "Expected";
+    CallerIngress ingress(
+        context, timer, names,
+        [&](const std::shared_ptr<const gateway::CallerRequest> &,
+            const gateway::AnswerCallback &answer) {
+            timer.post([answer] { answer({200, {}, std::string(std::size_t{32} << 20, 'x')}); });
+            return std::shared_ptr<gateway::Call>();
+        });
+    gateway::CallerLimits limits;
+    limits.idleTimeout = milliseconds(400);
+    ingress.setLimits(limits);
+    Reason reason;
+    const auto port = ingress.listen({"127.0.0.1", 0}, reason);
+    ASSERT_TRUE(port) << reason.text;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), *port});
+    asio::write(socket, asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: h\r\n\r\n")));
+    context.run_for(std::chrono::milliseconds(200));
+    EXPECT_EQ(ingress.counts().connections, 1U);
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (ingress.counts().connections > 0 && std::chrono::steady_clock::now() < until)
+        context.run_one_for(std::chrono::milliseconds(100));
+    EXPECT_EQ(ingress.counts().connections, 0U);
+    EXPECT_EQ(ingress.counts().unread, 1U);
+}
+
 } // namespace
