--- a/modules/adapters/src/gateway/IngressSession.cpp
+++ b/modules/adapters/src/gateway/IngressSession.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -24,6 +25,9 @@
 /// Bytes of further requests that are taken in while one is answered.
 constexpr std::size_t readAhead = std::size_t{64} * 1024;
 
+/// Callers that wait longer are taken to wait so long; larger numbers would overflow a duration.
+constexpr milliseconds longestCallerTimeout = std::chrono::hours(24);
+
 std::string_view viewOf(beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -33,9 +37,11 @@
 {
     std::int64_t number = 0;
     const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (result.ec == std::errc::result_out_of_range && !text.starts_with('-'))
+        return longestCallerTimeout;
     if (result.ec != std::errc{} || number < 0)
         return std::nullopt;
-    return milliseconds(number);
+    return std::min(milliseconds(number), longestCallerTimeout);
 }
 
 /// Whether the body's length is known: Beast takes a body whose last transfer coding is not chunked
--- a/modules/adapters/tests/gateway/CallerIngressTest.cpp
+++ b/modules/adapters/tests/gateway/CallerIngressTest.cpp
@@ -19,17 +19,22 @@
 
 namespace {
 
-/// Sends bytes of a caller and returns what comes back until the gateway closes the connection.
-std::string responseTo(const std::string &sent)
+HeaderNames headerNames()
 {
-    asio::io_context context;
-    AsioTimerService timer(context);
     HeaderNames names;
     names.requestId = "Request-Id";
     names.callerTimeout = "Timeout";
     names.expectedServer = "Expected";
+    return names;
+}
+
+/// Sends bytes of a caller and returns what comes back until the gateway closes the connection.
+std::string responseTo(const std::string &sent)
+{
+    asio::io_context context;
+    AsioTimerService timer(context);
     CallerIngress ingress(
-        context, timer, names,
+        context, timer, headerNames(),
         [](const std::shared_ptr<const gateway::CallerRequest> &, const gateway::AnswerCallback &) {
             return std::shared_ptr<gateway::Call>();
         });
@@ -112,12 +117,8 @@
 {
     asio::io_context context;
     AsioTimerService timer(context);
-    HeaderNames names;
-    names.requestId = "Request-Id";
-    names.callerTimeout = "Timeout";
-    names.expectedServer = "Expected";
     CallerIngress ingress(
-        context, timer, names,
+        context, timer, headerNames(),
         [&](const std::shared_ptr<const gateway::CallerRequest> &,
             const gateway::AnswerCallback &answer) {
             timer.post([answer] { answer({200, {}, std::string(std::size_t{32} << 20, 'x')}); });
@@ -141,4 +142,31 @@
     EXPECT_EQ(ingress.counts().unread, 1U);
 }
 
+// Guards against a number that overflows, so that a patient caller is refused for lack of time.
+TEST(CallerIngress, AbsurdTimeoutIsALongOne)
+{
+    for (const char *timeout :
+         {"9223372036854775807", "9223372036854775", "99999999999999999999999"}) {
+        asio::io_context context;
+        AsioTimerService timer(context);
+        std::shared_ptr<const gateway::CallerRequest> read;
+        CallerIngress ingress(context, timer, headerNames(),
+                              [&](std::shared_ptr<const gateway::CallerRequest> request,
+                                  const gateway::AnswerCallback &) {
+                                  read = std::move(request);
+                                  return std::shared_ptr<gateway::Call>();
+                              });
+        Reason reason;
+        const auto port = ingress.listen({"127.0.0.1", 0}, reason);
+        ASSERT_TRUE(port) << reason.text;
+        tcp::socket socket(context);
+        socket.connect({asio::ip::make_address("127.0.0.1"), *port});
+        asio::write(socket, asio::buffer("GET /x HTTP/1.1\r\nHost: h\r\nTimeout: "
+                                         + std::string(timeout) + "\r\n\r\n"));
+        while (!read)
+            ASSERT_GT(context.run_one_for(std::chrono::seconds(5)), 0U);
+        EXPECT_EQ(read->callerTimeout, std::chrono::hours(24)) << timeout;
+    }
+}
+
 } // namespace
