--- a/modules/adapters/tests/gateway/HttpGetterTest.cpp
+++ b/modules/adapters/tests/gateway/HttpGetterTest.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 using namespace oleander;
 using boost::system::error_code;
@@ -79,7 +80,8 @@
         OneAnswerServer server(context, bytes);
         HttpGetter getter(context, timer, server.address(), largestBody);
         std::optional<HttpGetAnswer> answer;
-        getter.get("/x", seconds(5), [&](std::optional<HttpGetAnswer> given) { answer = given; });
+        getter.get("/x", seconds(5),
+                   [&](std::optional<HttpGetAnswer> given) { answer = std::move(given); });
         while (!answer)
             ASSERT_GT(context.run_one_for(std::chrono::seconds(5)), 0U);
         EXPECT_TRUE(answer->isTooLarge);
@@ -95,7 +97,8 @@
     OneAnswerServer server(context, chunked(largestBody));
     HttpGetter getter(context, timer, server.address(), largestBody);
     std::optional<HttpGetAnswer> answer;
-    getter.get("/x", seconds(5), [&](std::optional<HttpGetAnswer> given) { answer = given; });
+    getter.get("/x", seconds(5),
+               [&](std::optional<HttpGetAnswer> given) { answer = std::move(given); });
     while (!answer)
         ASSERT_GT(context.run_one_for(std::chrono::seconds(5)), 0U);
     EXPECT_FALSE(answer->isTooLarge);
--- a/modules/decisions/tests/request/RateLimitTest.cpp
+++ b/modules/decisions/tests/request/RateLimitTest.cpp
@@ -15,6 +15,7 @@
     const double rate = *rc::gen::inRange(1, 400);
     TimePoint now = TimePoint{} + seconds(100);
     std::vector<RateLimit> limits;
+    limits.reserve(static_cast<std::size_t>(senders));
     for (int sender = 0; sender < senders; ++sender)
         limits.push_back(startRateLimit(rate, senders, static_cast<double>(sender) / senders, now));
     const TimePoint end = now + seconds(4);
--- a/modules/gateway/tests/ServerFleetTest.cpp
+++ b/modules/gateway/tests/ServerFleetTest.cpp
@@ -172,8 +172,10 @@
         // One connection to each server.
         instance.policy.instances = 58;
         instance.fleet.onInstanceCountChanged();
+        constexpr int requests = 20;
         std::vector<std::shared_ptr<ReceivedAnswer>> sent;
-        for (int number = 0; number < 20; ++number)
+        sent.reserve(requests);
+        for (int number = 0; number < requests; ++number)
             sent.push_back(instance.sendRequest("r" + std::to_string(number), path, seconds(15)));
         scheduler.runFor(milliseconds(5));
         const int before = servers.counters(addressOf(shardCount, 0)).arrived;
