Crash reports that do not fit a datagram are left out

Found in reading: 32 reports with long server ids and a list of 33 coordinators exceed the 4,096 bytes that instances read, and a message that is cut is not read at all, so that the fleet would lose its beacons while requests are suspected. The newest reports that fit are sent now.

--- a/modules/adapters/src/gateway/FleetBeacon.cpp
+++ b/modules/adapters/src/gateway/FleetBeacon.cpp
@@ -26,7 +26,6 @@
 constexpr int quickCalls = 6;
 constexpr std::size_t largestDatagram = 4096;
 constexpr std::size_t maximumCoordinators = 64;
-/// Keeps a message with all coordinators within a datagram.
 constexpr std::size_t maximumCrashReports = 32;
 /// Instances that have not called for this time are gone.
 constexpr Duration callerLifetime = seconds(10);
@@ -53,16 +52,19 @@
                 {coordinator.id.text(), coordinator.dataCentre.text(), coordinator.peerAddress});
         document["coordinators"] = std::move(list);
     }
-    if (!news.crashes.empty()) {
-        json list = json::array();
-        for (const CrashReport &report : news.crashes) {
-            if (list.size() == maximumCrashReports)
-                break;
-            list.push_back({report.loss.fingerprint.value(), report.loss.server.text(),
-                            report.loss.share, report.age / milliseconds(1)});
-        }
-        document["crashes"] = std::move(list);
+    // The newest come first; those that do not fit are sent once these have expired.
+    std::size_t bytes = document.dump().size() + std::string_view(R"(,"crashes":[])").size();
+    json list = json::array();
+    for (const CrashReport &report : news.crashes) {
+        json entry{report.loss.fingerprint.value(), report.loss.server.text(), report.loss.share,
+                   report.age / milliseconds(1)};
+        bytes += entry.dump().size() + 1;
+        if (list.size() == maximumCrashReports || bytes > largestDatagram)
+            break;
+        list.push_back(std::move(entry));
     }
+    if (!list.empty())
+        document["crashes"] = std::move(list);
     return document.dump();
 }
 
--- a/modules/adapters/tests/gateway/FleetBeaconTest.cpp
+++ b/modules/adapters/tests/gateway/FleetBeaconTest.cpp
@@ -107,6 +107,22 @@
         EXPECT_EQ(instance->crashes, std::vector{report}) << number;
 }
 
+// Guards against a message beyond a datagram, of which nothing at all would be read.
+TEST_F(FleetBeaconTest, CrashReportsThatDoNotFitAreLeftOut)
+{
+    start(1);
+    start(2);
+    context.run_for(std::chrono::milliseconds(100));
+    const std::string longName(400, 's');
+    for (std::uint64_t number = 1; number <= 40; ++number)
+        instances[2]->crashes.push_back({{Fingerprint(number), ServerId(longName), 500}, {}});
+    instances[2]->beacon.announceToAll();
+    context.run_for(std::chrono::milliseconds(100));
+    ASSERT_FALSE(instances[1]->crashes.empty());
+    EXPECT_LT(instances[1]->crashes.size(), 10U);
+    EXPECT_EQ(instances[1]->crashes.front(), instances[2]->crashes.front());
+}
+
 // All of 127.0.0.0/8 is this machine, so that instances share a port as they do on a platform.
 TEST(FleetBeacon, InstancesLearnTheirNumberFromASeed)
 {
--- a/modules/gateway/tests/ServerFleetTest.cpp
+++ b/modules/gateway/tests/ServerFleetTest.cpp
@@ -24,6 +24,18 @@
         scheduler.runFor(seconds(1));
     }
 
+    /// Sends requests that servers answer before the next one is sent.
+    void sendOneByOne(int count)
+    {
+        for (int number = 0; number < count; ++number) {
+            const auto received =
+                instance.sendRequest("r" + std::to_string(number), "/one/x", seconds(15));
+            scheduler.runFor(milliseconds(20));
+            ASSERT_TRUE(received->answer);
+            EXPECT_EQ(received->answer->status, 200);
+        }
+    }
+
     VirtualScheduler scheduler;
     SimulatedServers servers{scheduler, 1};
     TestInstance instance{scheduler, servers, {}, 2};
@@ -112,20 +124,11 @@
     behaviour.refusalRate = 1;
     behaviour.retryAfter = seconds(3);
     instance.policy.extraAttempts.allowance = 1000;
-    const auto send = [this](int count) {
-        for (int number = 0; number < count; ++number) {
-            const auto received =
-                instance.sendRequest("r" + std::to_string(number), "/one/x", seconds(15));
-            scheduler.runFor(milliseconds(20));
-            ASSERT_TRUE(received->answer);
-            EXPECT_EQ(received->answer->status, 200);
-        }
-    };
-    send(100);
+    sendOneByOne(100);
     EXPECT_EQ(servers.counters(addressOf(shardCount, 0)).arrived, 1);
     behaviour.refusalRate = 0;
     scheduler.runFor(seconds(2));
-    send(200);
+    sendOneByOne(200);
     EXPECT_GT(servers.counters(addressOf(shardCount, 0)).arrived, 5);
 }
 
@@ -211,25 +214,16 @@
 TEST_F(ServerFleetTest, ServerThatSaysThatItIsLeavingGetsNoRequestUntilItStartsAnew)
 {
     servers.behaviour(addressOf(shardCount, 0)).isLeaving = true;
-    const auto send = [this](int count) {
-        for (int number = 0; number < count; ++number) {
-            const auto received =
-                instance.sendRequest("r" + std::to_string(number), "/one/x", seconds(15));
-            scheduler.runFor(milliseconds(20));
-            ASSERT_TRUE(received->answer);
-            EXPECT_EQ(received->answer->status, 200);
-        }
-    };
-    send(50);
+    sendOneByOne(50);
     EXPECT_EQ(servers.counters(addressOf(shardCount, 0)).arrived, 1);
     ServerRegistration renewed = registrationOf(shardCount, 0);
     instance.fleet.onRegistration(renewed.id, &renewed);
-    send(50);
+    sendOneByOne(50);
     EXPECT_EQ(servers.counters(addressOf(shardCount, 0)).arrived, 1) << "a renewal is no new start";
     servers.behaviour(addressOf(shardCount, 0)).isLeaving = false;
     renewed.startedAt = 2;
     instance.fleet.onRegistration(renewed.id, &renewed);
-    send(50);
+    sendOneByOne(50);
     EXPECT_GT(servers.counters(addressOf(shardCount, 0)).arrived, 5);
 }
 
