A server that starts anew while it is checked counts as lost

Found in reading: when the registry told of a server's new start between the loss of its connections and the outcome of the check, the check's connection was closed with the others, and the loss stayed open until another connection to that server failed. A new start shows that the process before has ended.

Besides, the assumed number of instances that share a server is one constant now.

--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -125,10 +125,10 @@
     /// Until this time the server wants no requests of this instance.
     TimePoint m_turnedAwayUntil{};
     bool m_isRetired = false;
-    /// An answer has said that the server is leaving. Reset as below.
+    /// An answer has said that the server is leaving. Like the next, reset by a registration with a
+    /// new start time or address.
     bool m_isLeaving = false;
-    /// Another server answered at this address. Reset by a registration with a new start time or
-    /// address.
+    /// Another server answered at this address.
     bool m_isAddressReused = false;
     std::vector<std::unique_ptr<Connection>> m_connections;
     std::deque<AttemptPtr> m_waiting;
--- a/modules/gateway/include/oleander/gateway/GatewayPolicy.h
+++ b/modules/gateway/include/oleander/gateway/GatewayPolicy.h
@@ -8,6 +8,9 @@
 
 namespace oleander::gateway {
 
+/// Assumed number of instances that share what a server accepts until the real number is known.
+constexpr int assumedSharers = 24;
+
 /// Tuning parameters of the gateway, the same for the whole fleet.
 struct GatewayPolicy
 {
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -92,8 +92,6 @@
 
 namespace {
 
-/// Number of instances that share a server's rate limit until the real number is known.
-constexpr int assumedInstances = 24;
 /// Connection attempts that take longer are considered failed.
 constexpr Duration connectTimeout = milliseconds(700);
 
@@ -103,7 +101,7 @@
     : m_context(context)
     , m_registration(std::move(registration))
     , m_idleLimit(context.policy.idleLimit)
-    , m_rateSharers(context.policy.instances.value_or(assumedInstances))
+    , m_rateSharers(context.policy.instances.value_or(assumedSharers))
 {
     m_score.warmUpUntil = m_context.timer.now() + m_registration.warmUpLeft;
 }
@@ -164,8 +162,11 @@
 
 void BackendServer::update(ServerRegistration registration)
 {
-    const bool isRestarted = registration.startedAt != m_registration.startedAt
-                             || registration.address != m_registration.address;
+    const bool hasNewProcess = registration.startedAt != m_registration.startedAt;
+    const bool isRestarted = hasNewProcess || registration.address != m_registration.address;
+    // A check of the process before would not end any more.
+    if (isRestarted)
+        onChecked(hasNewProcess);
     m_registration = std::move(registration);
     if (isRestarted) {
         m_isAddressReused = false;
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -19,8 +19,6 @@
 /// together do not all contact every server at once.
 constexpr Duration warmUpPeriod = milliseconds(20);
 constexpr std::size_t warmUpsPerPeriod = 2;
-/// Assumed number of instances that share a server's connections until the real number is known.
-constexpr int assumedInstances = 24;
 /// Number of servers of each service that get connections until then; the second is a backup.
 constexpr std::size_t initialPreferredCount = 2;
 /// Time after the first configuration in which this instance learns whether coordinators hold the
@@ -216,7 +214,7 @@
         const bool keepsIdle = keepsAny && (!isScarce || server == order.front().second);
         server->setConnectionLimits(connectionLimit(pool),
                                     keepsIdle ? m_policy.idleLimit : m_policy.onDemandIdleLimit);
-        server->setRateSharing(sharers(pool).value_or(assumedInstances), unitInterval(rank << 1));
+        server->setRateSharing(sharers(pool).value_or(assumedSharers), unitInterval(rank << 1));
         if (pool.preferred.size() == preferred)
             continue;
         pool.preferred.push_back(server);
@@ -362,7 +360,7 @@
 
 int ServerFleet::connectionLimit(const ServicePool &pool) const
 {
-    const int instances = std::max(1, sharers(pool).value_or(assumedInstances));
+    const int instances = std::max(1, sharers(pool).value_or(assumedSharers));
     return std::clamp(pool.connectionCap / instances, 1, m_policy.connectionsPerServer);
 }
 
--- a/modules/gateway/tests/CrashGuardTest.cpp
+++ b/modules/gateway/tests/CrashGuardTest.cpp
@@ -136,6 +136,23 @@
     EXPECT_EQ(servers.crashes(), before);
 }
 
+// Guards against losing the evidence when the registry tells of the server's restart before a
+// connection shows that it has ended.
+TEST_F(CrashGuardTest, ServerThatStartsAnewWhileItIsCheckedCountsAsLost)
+{
+    for (int number = 0; number < 6; ++number) {
+        send(0, "/once/crash", "POST");
+        scheduler.runFor(milliseconds(2));
+        for (int server = 0; server < serversPerService; ++server) {
+            ServerRegistration renewed = registrationOf(shardCount, server);
+            renewed.startedAt = number + 2;
+            instances.front()->fleet.onRegistration(renewed.id, &renewed);
+        }
+        scheduler.runFor(seconds(5));
+    }
+    EXPECT_EQ(servers.crashes(), 2);
+}
+
 // Guards against refusing what was in flight to servers that another request crashed.
 TEST_F(CrashGuardTest, RequestsThatSharedServersWithACrashingOneAreServed)
 {
