A suspicion of crashing servers that is cleared leaves a log line

An instance logged which losses it attributed to a request, and which requests it refused, but not when a reply cleared them.

CrashSuspicionCleared names the fingerprint, the server and the status of its reply. No decision changes.

--- a/modules/core/include/oleander/core/Event.h
+++ b/modules/core/include/oleander/core/Event.h
@@ -49,6 +49,7 @@
     ServerRateLimit = 406,
     CrashSuspicion = 410,
     CrashRefusal = 411,
+    CrashSuspicionCleared = 412,
     PeerOpened = 500,
     PeerLost = 501,
     PeerRefused = 502,
--- a/modules/core/src/Event.cpp
+++ b/modules/core/src/Event.cpp
@@ -79,6 +79,8 @@
               "a backend server was lost while it executed a query"},
     EventInfo{EventId::CrashRefusal, Warning, "CrashRefusal",
               "a query was refused because servers were lost while they executed it"},
+    EventInfo{EventId::CrashSuspicionCleared, Info, "CrashSuspicionCleared",
+              "a query under which servers were lost was executed by one that replied"},
     EventInfo{EventId::PeerOpened, Info, "PeerOpened", "a session with a peer was opened"},
     EventInfo{EventId::PeerLost, Warning, "PeerLost", "a session with a peer ended"},
     EventInfo{EventId::PeerRefused, Error, "PeerRefused",
--- a/modules/decisions/include/oleander/decisions/request/CrashMemory.h
+++ b/modules/decisions/include/oleander/decisions/request/CrashMemory.h
@@ -103,8 +103,8 @@
 
 /// Records that a server executed a suspected query and replied, where all servers execute the
 /// whole query: one that survives shows that the query does not crash servers. Clears what was
-/// attributed to the fingerprint.
-void noteSurvived(CrashMemory &memory, Fingerprint fingerprint, TimePoint when);
+/// attributed to the fingerprint. Returns true if anything was.
+bool noteSurvived(CrashMemory &memory, Fingerprint fingerprint, TimePoint when);
 
 /// What one instance tells another of a fingerprint.
 struct CrashReport
--- a/modules/decisions/src/request/CrashMemory.cpp
+++ b/modules/decisions/src/request/CrashMemory.cpp
@@ -31,14 +31,16 @@
     return true;
 }
 
-/// Clears the losses up to `when`, at which a server survived the execution.
-void clear(CrashRecord &record, TimePoint when)
+/// Clears the losses up to `when`, at which a server survived the execution. Returns true if there
+/// were any.
+bool clear(CrashRecord &record, TimePoint when)
 {
     record.survivedAt = std::max(record.survivedAt.value_or(when), when);
-    if (record.lastLoss > when)
-        return;
+    if (record.servers.empty() || record.lastLoss > when)
+        return false;
     record.attributedLoss = 0;
     record.servers.clear();
+    return true;
 }
 
 } // namespace
@@ -106,11 +108,10 @@
     record.harmlessUntil = now + rules.harmlessMemory;
 }
 
-void noteSurvived(CrashMemory &memory, Fingerprint fingerprint, TimePoint when)
+bool noteSurvived(CrashMemory &memory, Fingerprint fingerprint, TimePoint when)
 {
     const auto found = memory.records.find(fingerprint);
-    if (found != memory.records.end())
-        clear(found->second, when);
+    return found != memory.records.end() && clear(found->second, when);
 }
 
 std::vector<CrashReport> crashReports(const CrashMemory &memory, TimePoint now,
--- a/modules/gateway/include/oleander/gateway/CrashGuard.h
+++ b/modules/gateway/include/oleander/gateway/CrashGuard.h
@@ -71,8 +71,8 @@
 
     // Attempts
     void onSubmitted(CrashTrial &trial) { ++trial.inFlight; }
-    /// A server executed the request and replied.
-    void onSurvived(CrashTrial &trial);
+    /// `server` executed the request and replied with `status`.
+    void onSurvived(CrashTrial &trial, const ServerId &server, int status);
     /// The server closed the connection. onServerChecked() follows.
     void onConnectionClosed(CrashTrial &trial);
     /// The attempt ended otherwise, which shows nothing.
--- a/modules/gateway/src/CrashGuard.cpp
+++ b/modules/gateway/src/CrashGuard.cpp
@@ -81,13 +81,18 @@
     return oleander::refusalLeft(m_memory, trial.fingerprint, m_timer.now(), m_rules);
 }
 
-void CrashGuard::onSurvived(CrashTrial &trial)
+void CrashGuard::onSurvived(CrashTrial &trial, const ServerId &server, int status)
 {
     --trial.inFlight;
     trial.loss.reset();
     if (std::exchange(trial.hasSurvivor, true))
         return;
-    noteSurvived(m_memory, trial.fingerprint, m_timer.now());
+    if (noteSurvived(m_memory, trial.fingerprint, m_timer.now())) {
+        m_log.record(EventId::CrashSuspicionCleared, {},
+                     {{"fingerprint", trial.fingerprint.value()},
+                      {"server", server.text()},
+                      {"status", status}});
+    }
     notify(trial);
 }
 
