A failure reply does not clear a request that crashes servers

What callers saw: other requests lost with the servers that a returning request ended, after the fleet had already recognised it.

Cause: any complete reply counted as proof that a server had executed the request and survived. A server that fails part of its requests replies with 500 without executing them, and one whose time runs out replies with 504 before the request has done its harm. Either cleared what all instances had attributed to the request.

Why it works: only a reply below 500 comes from a whole execution.

--- a/modules/gateway/include/oleander/gateway/CrashGuard.h
+++ b/modules/gateway/include/oleander/gateway/CrashGuard.h
@@ -71,8 +71,8 @@
 
     // Attempts
     void onSubmitted(CrashTrial &trial) { ++trial.inFlight; }
-    /// `server` executed the request and replied with `status`.
-    void onSurvived(CrashTrial &trial, const ServerId &server, int status);
+    /// `server` replied with `status`. A failure need not come from an execution, and proves nothing.
+    void onReplied(CrashTrial &trial, const ServerId &server, int status);
     /// The server closed the connection. onServerChecked() follows.
     void onConnectionClosed(CrashTrial &trial);
     /// The attempt ended otherwise, which shows nothing.
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -442,7 +442,7 @@
     attempt->server = nullptr;
     if (const auto trial = std::exchange(attempt->trial, nullptr)) {
         if (result.outcome == AttemptOutcome::Replied)
-            m_context.crashes.onSurvived(*trial, m_registration.id, result.reply.status);
+            m_context.crashes.onReplied(*trial, m_registration.id, result.reply.status);
         else
             m_context.crashes.onEnded(*trial);
     }
--- a/modules/gateway/src/CrashGuard.cpp
+++ b/modules/gateway/src/CrashGuard.cpp
@@ -1,4 +1,5 @@
 #include <oleander/gateway/CrashGuard.h>
+#include <oleander/gateway/HttpStatus.h>
 
 #include <xxhash.h>
 
@@ -81,8 +82,12 @@
     return oleander::refusalLeft(m_memory, trial.fingerprint, m_timer.now(), m_rules);
 }
 
-void CrashGuard::onSurvived(CrashTrial &trial, const ServerId &server, int status)
+void CrashGuard::onReplied(CrashTrial &trial, const ServerId &server, int status)
 {
+    if (status >= firstServerErrorStatus) {
+        onEnded(trial);
+        return;
+    }
     --trial.inFlight;
     trial.loss.reset();
     if (std::exchange(trial.hasSurvivor, true))
--- a/modules/gateway/tests/support/SimulatedServers.cpp
+++ b/modules/gateway/tests/support/SimulatedServers.cpp
@@ -192,6 +192,13 @@
         reply(work, std::move(refusal));
         return;
     }
+    if (randomFraction() < behaviour.immediateFailureRate) {
+        ServerReply failure;
+        failure.status = 500;
+        failure.receipt = "receipt-" + std::to_string(++m_receiptCount);
+        reply(work, std::move(failure));
+        return;
+    }
     server.waiting.push_back(work);
     startQueuedWork(server);
 }
@@ -217,8 +224,12 @@
         ++server.counters.executed;
         server.counters.executedIds.push_back(work->request->id.text());
         if (isCrashing && isCrashing(*work->request)) {
-            crashAndRestart(server);
-            return;
+            if (crashAfter == Duration::zero()) {
+                crashAndRestart(server);
+                return;
+            }
+            m_scheduler.schedule(now + crashAfter,
+                                 [this, &server, work] { crashUnder(server, work); });
         }
         const Duration usualTime = executionTime(*work->request, m_random);
         const auto executionDuration =
@@ -229,10 +240,19 @@
     }
 }
 
+void SimulatedServers::crashUnder(Server &server, const std::shared_ptr<Work> &work)
+{
+    // The server may have answered the request, or dropped it with its connection.
+    if (std::ranges::find(server.running, work) != server.running.end())
+        crashAndRestart(server);
+}
+
 void SimulatedServers::crashAndRestart(Server &server)
 {
     ++m_crashes;
     crash(server.address);
+    if (onCrashed)
+        onCrashed(server.address);
     m_scheduler.schedule(m_scheduler.now() + crashDownTime,
                          [&server] { server.behaviour.isDown = false; });
 }
--- a/modules/gateway/tests/support/SimulatedServers.h
+++ b/modules/gateway/tests/support/SimulatedServers.h
@@ -25,8 +25,10 @@
     double slowdown = 1.0;
     /// Fraction of requests that the server refuses regardless of its load.
     double refusalRate = 0;
-    /// Fraction of requests that the server answers with status 500.
+    /// Fraction of requests that the server answers with status 500, after their execution and
+    /// instead of it.
     double failureRate = 0;
+    double immediateFailureRate = 0;
     /// Fraction of requests that the server executes and then closes the connection without a
     /// reply.
     double lostReplyRate = 0;
@@ -87,10 +89,13 @@
     std::function<std::string(const CallerRequest &, const Address &)> makeBody =
         [](const CallerRequest &, const Address &) { return std::string("body"); };
 
-    /// Whether a request crashes each server that begins to execute it, and how long the server is
-    /// down then.
+    /// Whether a request crashes each server that begins to execute it, after how much of its
+    /// execution, and how long the server is down then.
     std::function<bool(const CallerRequest &)> isCrashing;
+    Duration crashAfter{};
     Duration crashDownTime = seconds(3);
+    /// Called when a server has crashed because of isCrashing.
+    std::function<void(const Address &)> onCrashed;
 
     /// The behaviour of the server at `address`. Every address has a server.
     ServerBehaviour &behaviour(const Address &address);
@@ -115,6 +120,7 @@
     Server &serverAt(const Address &address);
     void receive(Server &server, const std::shared_ptr<Work> &work);
     void startQueuedWork(Server &server);
+    void crashUnder(Server &server, const std::shared_ptr<Work> &work);
     void crashAndRestart(Server &server);
     void finish(Server &server, const std::shared_ptr<Work> &work);
     void reply(const std::shared_ptr<Work> &work, ServerReply reply);
