A request that crashes servers is recognised when its query differs

What callers saw: servers lost under other callers' requests each time the crashing request came again.

Cause: the fingerprint covered the query of the target. A request that came again with the same path and body, and another query, was a new one each time, and cost two servers each time.

Evidence: CrashingRequestFleetTest.RequestThatReturnsWithAnotherQueryIsHeldBack. Harmless queries of the same resource are served, and a refused resource is tried again after a minute (two further tests).

Why it works: each loss is attributed to the request and to its resource, the request without the query, and the stricter decision holds. Ruled out: leaving the query out of the fingerprint, which would refuse every search of a product whose searches differ in the query only.

--- a/modules/decisions/include/oleander/decisions/request/CrashMemory.h
+++ b/modules/decisions/include/oleander/decisions/request/CrashMemory.h
@@ -20,6 +20,9 @@
     Duration harmlessMemory = seconds(600);
     /// How long a fingerprint is treated as suspected after the last server loss attributed to it.
     Duration refusal = seconds(60);
+    /// How long all queries for one resource are refused after the last loss attributed to it. Then
+    /// one at a time is sent alone, since most of them may be harmless.
+    Duration resourceRefusal = seconds(60);
     /// Number of lost servers after which a fingerprint is refused.
     int serverLimit = 2;
 };
@@ -80,6 +83,11 @@
 DispatchDecision decideDispatch(const CrashMemory &memory, Fingerprint fingerprint, TimePoint now,
                                 const CrashRules &rules);
 
+/// The decision for all requests for one resource, which differ in their queries. `resource` is the
+/// fingerprint of what they have in common.
+DispatchDecision decideResourceDispatch(const CrashMemory &memory, Fingerprint resource,
+                                        TimePoint now, const CrashRules &rules);
+
 /// Records that a server was lost while it executed `suspects`. The loss is divided equally among
 /// the distinct fingerprints; returns the share of each in thousandths. When several servers are
 /// lost at about the same time, a fingerprint that counts as harmless is held responsible for one
@@ -118,9 +126,9 @@
     bool operator==(const CrashReport &) const = default;
 };
 
-/// What other instances need to know: the losses attributed to suspected fingerprints, of each as
-/// many as the limit needs, and the fingerprints that have been cleared. Only the `maximum`
-/// fingerprints with the newest evidence.
+/// What other instances need to know: the losses attributed to suspected fingerprints, of each the
+/// last ones, as many as the limit needs, and the fingerprints that have been cleared. Only the
+/// `maximum` fingerprints with the newest evidence.
 [[nodiscard]] std::vector<CrashReport> crashReports(const CrashMemory &memory, TimePoint now,
                                                     const CrashRules &rules, std::size_t maximum);
 
@@ -131,6 +139,10 @@
 [[nodiscard]] Duration refusalLeft(const CrashMemory &memory, Fingerprint fingerprint,
                                    TimePoint now, const CrashRules &rules);
 
+/// The same for all requests for one resource.
+[[nodiscard]] Duration resourceRefusalLeft(const CrashMemory &memory, Fingerprint resource,
+                                           TimePoint now, const CrashRules &rules);
+
 /// Number of currently suspected fingerprints, for operators.
 int countSuspectedFingerprints(const CrashMemory &memory, TimePoint now, const CrashRules &rules);
 
--- a/modules/decisions/src/request/CrashMemory.cpp
+++ b/modules/decisions/src/request/CrashMemory.cpp
@@ -43,11 +43,26 @@
     return true;
 }
 
+/// What is left of `period` since the last loss attributed to the fingerprint.
+Duration leftSinceLoss(const CrashMemory &memory, Fingerprint fingerprint, TimePoint now,
+                       Duration period)
+{
+    const auto found = memory.records.find(fingerprint);
+    if (found == memory.records.end())
+        return {};
+    return std::max(Duration{}, found->second.lastLoss + period - now);
+}
+
 } // namespace
 
 CrashRules crashRulesOf(const Policy &policy)
 {
-    return {policy.canary, policy.canaryMemory, policy.crashRefusal, policy.crashServerLimit};
+    CrashRules rules;
+    rules.canary = policy.canary;
+    rules.harmlessMemory = policy.canaryMemory;
+    rules.refusal = policy.crashRefusal;
+    rules.serverLimit = policy.crashServerLimit;
+    return rules;
 }
 
 DispatchDecision decideDispatch(const CrashMemory &memory, Fingerprint fingerprint, TimePoint now,
@@ -70,6 +85,15 @@
     return rules.canary ? DispatchDecision::CanaryFirst : DispatchDecision::SendToAll;
 }
 
+DispatchDecision decideResourceDispatch(const CrashMemory &memory, Fingerprint resource,
+                                        TimePoint now, const CrashRules &rules)
+{
+    const DispatchDecision decision = decideDispatch(memory, resource, now, rules);
+    const bool isOver = resourceRefusalLeft(memory, resource, now, rules) == Duration::zero();
+    return decision == DispatchDecision::Refuse && isOver ? DispatchDecision::CanaryAlone
+                                                          : decision;
+}
+
 std::int64_t noteServerLost(CrashMemory &memory, const ServerId &server,
                             const std::vector<Fingerprint> &suspects, TimePoint now)
 {
@@ -137,7 +161,8 @@
         const std::int64_t share = (record.attributedLoss + servers - 1) / servers;
         const std::int64_t needed =
             std::max<std::int64_t>(rules.serverLimit, (wholeServer + share - 1) / share);
-        for (std::int64_t index = 0; index < std::min(needed, servers); ++index) {
+        // The receiver may know the earlier ones, and still has to learn when the last one was.
+        for (std::int64_t index = servers - std::min(needed, servers); index < servers; ++index) {
             const ServerId &server = record.servers[static_cast<std::size_t>(index)];
             reports.push_back({{fingerprint, server, share}, now - when});
         }
@@ -157,10 +182,13 @@
 Duration refusalLeft(const CrashMemory &memory, Fingerprint fingerprint, TimePoint now,
                      const CrashRules &rules)
 {
-    const auto found = memory.records.find(fingerprint);
-    if (found == memory.records.end())
-        return {};
-    return std::max(Duration{}, found->second.lastLoss + rules.refusal - now);
+    return leftSinceLoss(memory, fingerprint, now, rules.refusal);
+}
+
+Duration resourceRefusalLeft(const CrashMemory &memory, Fingerprint resource, TimePoint now,
+                             const CrashRules &rules)
+{
+    return leftSinceLoss(memory, resource, now, rules.resourceRefusal);
 }
 
 int countSuspectedFingerprints(const CrashMemory &memory, TimePoint now, const CrashRules &rules)
--- a/modules/gateway/include/oleander/gateway/CrashGuard.h
+++ b/modules/gateway/include/oleander/gateway/CrashGuard.h
@@ -16,12 +16,16 @@
 /// Hash of what a request asks for: method, host, target and body. Requests that callers repeat
 /// have equal fingerprints, although each attempt has an id of its own.
 [[nodiscard]] Fingerprint fingerprintOf(const CallerRequest &request);
+/// The same without the query of the target.
+[[nodiscard]] Fingerprint resourceFingerprintOf(const CallerRequest &request);
 
 /// All attempts in progress of requests with one fingerprint, as evidence of whether the request
 /// crashes servers.
 struct CrashTrial
 {
     Fingerprint fingerprint;
+    /// The trial of all requests that differ from these in the query only; null if there is none.
+    std::shared_ptr<CrashTrial> resource;
     /// Attempts that servers hold or wait for.
     int inFlight = 0;
     /// Servers that closed the connection under an attempt, and may have ended.
@@ -34,6 +38,15 @@
     std::optional<AttributedLoss> loss;
     /// Called once when the evidence changes.
     std::vector<std::function<void()>> waiting;
+
+    /// Calls `apply` with this trial and that of the resource.
+    template <typename Function>
+    void forEachLevel(Function apply)
+    {
+        apply(*this);
+        if (resource)
+            apply(*resource);
+    }
 };
 
 /// Whether a request may be sent to a server, or to one server more.
@@ -54,6 +67,10 @@
 /// server has survived. A request with a loss is sent to one server alone, until one survives it or
 /// the limit of lost servers is reached; then it is refused. What instances attribute to a request
 /// is exchanged between them.
+///
+/// The same is done for all requests that differ in the query only, since a caller may repeat a
+/// request with another one. Requests for a resource that servers survive keep it from being
+/// refused.
 class CrashGuard
 {
 public:
@@ -68,10 +85,13 @@
     [[nodiscard]] SendDecision decide(const CrashTrial &trial) const;
     /// Time until a refused request may be sent again; zero for all others.
     [[nodiscard]] Duration refusalLeft(const CrashTrial &trial) const;
+    /// Calls `callback` when the evidence changes, once or twice.
+    static void awaitEvidence(CrashTrial &trial, const std::function<void()> &callback);
 
     // Attempts
-    void onSubmitted(CrashTrial &trial) { ++trial.inFlight; }
-    /// `server` replied with `status`. A failure need not come from an execution, and proves nothing.
+    static void onSubmitted(CrashTrial &trial);
+    /// `server` replied with `status`. A failure need not come from an execution, and proves
+    /// nothing.
     void onReplied(CrashTrial &trial, const ServerId &server, int status);
     /// The server closed the connection. onServerChecked() follows.
     void onConnectionClosed(CrashTrial &trial);
@@ -96,6 +116,9 @@
 private:
     using Trials = std::unordered_map<Fingerprint, std::weak_ptr<CrashTrial>>;
 
+    [[nodiscard]] std::shared_ptr<CrashTrial> trialOf(Fingerprint fingerprint);
+    /// The decision by the evidence of this trial alone.
+    [[nodiscard]] SendDecision decide(const CrashTrial &trial, DispatchDecision known) const;
     void attributeIfDone(CrashTrial &trial);
     void announceSoon();
     /// Calls those that wait for the trial, after the current event has been handled.
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -199,7 +199,7 @@
 void BackendServer::submit(const AttemptPtr &attempt)
 {
     attempt->server = this;
-    m_context.crashes.onSubmitted(*attempt->trial);
+    CrashGuard::onSubmitted(*attempt->trial);
     if (m_rateLimit)
         takeToken(*m_rateLimit, m_context.timer.now());
     if (Connection *idle = idleConnection(*attempt)) {
--- a/modules/gateway/src/CrashGuard.cpp
+++ b/modules/gateway/src/CrashGuard.cpp
@@ -18,20 +18,31 @@
 /// Suspected requests that are told to other instances, which bounds the message.
 constexpr std::size_t maximumReported = 12;
 
-} // namespace
-
-Fingerprint fingerprintOf(const CallerRequest &request)
+Fingerprint fingerprintOf(const CallerRequest &request, std::string_view target)
 {
     XXH64_hash_t hash = 0;
-    for (const std::string *part :
-         {&request.method, &request.host, &request.target, &request.body}) {
-        const std::size_t size = part->size();
+    for (const std::string_view part :
+         {std::string_view(request.method), std::string_view(request.host), target,
+          std::string_view(request.body)}) {
+        const std::size_t size = part.size();
         hash = XXH3_64bits_withSeed(&size, sizeof size, hash);
-        hash = XXH3_64bits_withSeed(part->data(), size, hash);
+        hash = XXH3_64bits_withSeed(part.data(), size, hash);
     }
     return Fingerprint(hash);
 }
 
+} // namespace
+
+Fingerprint fingerprintOf(const CallerRequest &request)
+{
+    return fingerprintOf(request, request.target);
+}
+
+Fingerprint resourceFingerprintOf(const CallerRequest &request)
+{
+    return fingerprintOf(request, pathOf(request.target));
+}
+
 CrashGuard::CrashGuard(TimerService &timer, EventLog &log, const CrashRules &rules)
     : m_timer(timer)
     , m_log(log)
@@ -41,7 +52,15 @@
 
 std::shared_ptr<CrashTrial> CrashGuard::trialOf(const CallerRequest &request)
 {
-    const Fingerprint fingerprint = fingerprintOf(request);
+    auto trial = trialOf(fingerprintOf(request));
+    const Fingerprint resource = resourceFingerprintOf(request);
+    if (!trial->resource && resource != trial->fingerprint)
+        trial->resource = trialOf(resource);
+    return trial;
+}
+
+std::shared_ptr<CrashTrial> CrashGuard::trialOf(Fingerprint fingerprint)
+{
     auto &held = (*m_trials)[fingerprint];
     if (auto trial = held.lock())
         return trial;
@@ -58,12 +77,23 @@
 }
 
 SendDecision CrashGuard::decide(const CrashTrial &trial) const
+{
+    const TimePoint now = m_timer.now();
+    const SendDecision decision =
+        decide(trial, decideDispatch(m_memory, trial.fingerprint, now, m_rules));
+    if (!trial.resource)
+        return decision;
+    const CrashTrial &resource = *trial.resource;
+    return std::max(decision, decide(resource, decideResourceDispatch(
+                                                   m_memory, resource.fingerprint, now, m_rules)));
+}
+
+SendDecision CrashGuard::decide(const CrashTrial &trial, DispatchDecision known) const
 {
     if (trial.hasSurvivor)
         return SendDecision::Send;
-    const TimePoint now = m_timer.now();
-    const bool isChecking = trial.unverified > 0 && now < trial.lastClosedAt + checkTime;
-    switch (decideDispatch(m_memory, trial.fingerprint, now, m_rules)) {
+    const bool isChecking = trial.unverified > 0 && m_timer.now() < trial.lastClosedAt + checkTime;
+    switch (known) {
     case DispatchDecision::Refuse:
         return SendDecision::Refuse;
     case DispatchDecision::CanaryFirst:
@@ -79,7 +109,21 @@
 {
     if (decide(trial) != SendDecision::Refuse)
         return {};
-    return oleander::refusalLeft(m_memory, trial.fingerprint, m_timer.now(), m_rules);
+    const TimePoint now = m_timer.now();
+    const Duration left = oleander::refusalLeft(m_memory, trial.fingerprint, now, m_rules);
+    if (!trial.resource)
+        return left;
+    return std::max(left, resourceRefusalLeft(m_memory, trial.resource->fingerprint, now, m_rules));
+}
+
+void CrashGuard::awaitEvidence(CrashTrial &trial, const std::function<void()> &callback)
+{
+    trial.forEachLevel([&callback](CrashTrial &level) { level.waiting.push_back(callback); });
+}
+
+void CrashGuard::onSubmitted(CrashTrial &trial)
+{
+    trial.forEachLevel([](CrashTrial &level) { ++level.inFlight; });
 }
 
 void CrashGuard::onReplied(CrashTrial &trial, const ServerId &server, int status)
@@ -88,31 +132,37 @@
         onEnded(trial);
         return;
     }
-    --trial.inFlight;
-    trial.loss.reset();
-    if (std::exchange(trial.hasSurvivor, true))
-        return;
-    if (noteSurvived(m_memory, trial.fingerprint, m_timer.now())) {
-        m_log.record(EventId::CrashSuspicionCleared, {},
-                     {{"fingerprint", trial.fingerprint.value()},
-                      {"server", server.text()},
-                      {"status", status}});
-    }
-    notify(trial);
+    trial.forEachLevel([&](CrashTrial &level) {
+        --level.inFlight;
+        level.loss.reset();
+        if (std::exchange(level.hasSurvivor, true))
+            return;
+        if (noteSurvived(m_memory, level.fingerprint, m_timer.now())) {
+            m_log.record(EventId::CrashSuspicionCleared, {},
+                         {{"fingerprint", level.fingerprint.value()},
+                          {"server", server.text()},
+                          {"status", status}});
+        }
+        notify(level);
+    });
 }
 
 void CrashGuard::onConnectionClosed(CrashTrial &trial)
 {
-    --trial.inFlight;
-    ++trial.unverified;
-    trial.lastClosedAt = m_timer.now();
+    trial.forEachLevel([now = m_timer.now()](CrashTrial &level) {
+        --level.inFlight;
+        ++level.unverified;
+        level.lastClosedAt = now;
+    });
 }
 
 void CrashGuard::onEnded(CrashTrial &trial)
 {
-    --trial.inFlight;
-    attributeIfDone(trial);
-    notify(trial);
+    trial.forEachLevel([this](CrashTrial &level) {
+        --level.inFlight;
+        attributeIfDone(level);
+        notify(level);
+    });
 }
 
 void CrashGuard::onServerChecked(const std::vector<std::shared_ptr<CrashTrial>> &trials,
@@ -123,11 +173,13 @@
         suspects.insert(trial->fingerprint);
     const auto count = static_cast<std::int64_t>(suspects.size());
     for (const auto &trial : trials) {
-        --trial->unverified;
-        if (hasEnded && !trial->hasSurvivor && !trial->loss)
-            trial->loss = {trial->fingerprint, server, (wholeServer + count - 1) / count};
-        attributeIfDone(*trial);
-        notify(*trial);
+        trial->forEachLevel([&](CrashTrial &level) {
+            --level.unverified;
+            if (hasEnded && !level.hasSurvivor && !level.loss)
+                level.loss = {level.fingerprint, server, (wholeServer + count - 1) / count};
+            attributeIfDone(level);
+            notify(level);
+        });
     }
 }
 
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -261,7 +261,7 @@
 {
     if (std::exchange(m_isAwaitingVerdict, true))
         return;
-    m_plan.trial->waiting.push_back([self = weak_from_this()] {
+    CrashGuard::awaitEvidence(*m_plan.trial, [self = weak_from_this()] {
         const auto call = self.lock();
         if (!call)
             return;
--- a/modules/gateway/tests/CrashingRequestFleetTest.cpp
+++ b/modules/gateway/tests/CrashingRequestFleetTest.cpp
@@ -205,4 +205,48 @@
     expectHeldBack();
 }
 
+// Guards against taking each return of a request for a new one because its query differs.
+TEST_F(CrashingRequestFleetTest, RequestThatReturnsWithAnotherQueryIsHeldBack)
+{
+    startLoad();
+    int page = 0;
+    repeatCrashing([&page] { return "/one/crash?page=" + std::to_string(++page); });
+    expectHeldBack();
+    EXPECT_GE(servedShare(), requiredServedShare);
+}
+
+// Guards against refusing all queries of a resource for those that crash servers.
+TEST_F(CrashingRequestFleetTest, HarmlessQueriesOfTheSameResourceAreServed)
+{
+    startLoad();
+    int page = 0;
+    for (int round = 0; round < 20; ++round) {
+        send(round, "/one/find?crash");
+        for (int number = 0; number < 4; ++number) {
+            harmless.push_back(send(round + number, "/one/find?page=" + std::to_string(++page)));
+            scheduler.runFor(milliseconds(300));
+        }
+    }
+    EXPECT_LE(lossTimes.size(), permittedLosses);
+    EXPECT_GE(servedShare(), requiredServedShare);
+}
+
+// Guards against a resource that stays refused although its other queries are harmless.
+TEST_F(CrashingRequestFleetTest, RefusedResourceIsTriedAgain)
+{
+    for (int number = 0; number < 4; ++number) {
+        send(number, "/one/find?crash" + std::to_string(number));
+        scheduler.runFor(seconds(2));
+    }
+    EXPECT_EQ(lossTimes.size(), 2U);
+    const auto refused = send(5, "/one/find?page=1");
+    scheduler.runFor(CrashRules{}.resourceRefusal);
+    ASSERT_TRUE(refused->answer);
+    EXPECT_EQ(refused->answer->status, 503);
+    const auto received = send(5, "/one/find?page=1");
+    scheduler.runFor(seconds(1));
+    ASSERT_TRUE(received->answer);
+    EXPECT_EQ(received->answer->status, 200);
+}
+
 } // namespace
