The registry's epoch is read, and a restored registry leaves a log line

No line of an instance said that the store had come back from an older copy, or at which revision it was.

The store states how often it was restored (Store-Era). RegistryRestored names the epoch, the revision and the one held before. No decision changes.

--- a/modules/adapters/include/oleander/adapters/gateway/HttpGetter.h
+++ b/modules/adapters/include/oleander/adapters/gateway/HttpGetter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <oleander/core/Units.h>
+#include <oleander/gateway/HttpMessage.h>
 #include <oleander/ports/TimerService.h>
 #include <oleander/settings/Address.h>
 
@@ -8,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace boost::asio {
 class io_context;
@@ -19,6 +21,8 @@
 struct HttpGetAnswer
 {
     int status = 0;
+    /// The header fields without those of the connection.
+    std::vector<gateway::HttpField> fields;
     std::string body;
     /// The body exceeds the limit and was not read; it is empty here.
     bool isTooLarge = false;
--- a/modules/adapters/src/gateway/HttpGetter.cpp
+++ b/modules/adapters/src/gateway/HttpGetter.cpp
@@ -1,5 +1,6 @@
 #include "concurrency/AsioHeaders.h"
 #include "concurrency/GrowingStringBody.h"
+#include "gateway/HttpHeaders.h"
 
 #include <oleander/adapters/gateway/HttpGetter.h>
 
@@ -117,7 +118,7 @@
             const int status = static_cast<int>(m_parser->get().result_int());
             m_parser.reset();
             disconnect();
-            finish(HttpGetAnswer{status, {}, true});
+            finish(HttpGetAnswer{status, {}, {}, true});
             return;
         }
         if (error) {
@@ -127,8 +128,8 @@
         auto message = m_parser->release();
         if (!message.keep_alive() || m_in.size() > 0)
             disconnect();
-        finish(HttpGetAnswer{static_cast<int>(message.result_int()), std::move(message.body()),
-                             false});
+        finish(HttpGetAnswer{static_cast<int>(message.result_int()), endToEndFields(message, {}),
+                             std::move(message.body()), false});
     }
 
     /// A kept connection may have been closed at the other end; that is tried once more.
--- a/modules/core/include/oleander/core/Event.h
+++ b/modules/core/include/oleander/core/Event.h
@@ -34,6 +34,7 @@
     RegistrySourceChanged = 225,
     RegistryReaderFailed = 226,
     RegistryAnswerTooLarge = 227,
+    RegistryRestored = 228,
     QueryRefused = 300,
     QueryPartial = 301,
     QueryFailed = 302,
--- a/modules/core/src/Event.cpp
+++ b/modules/core/src/Event.cpp
@@ -52,6 +52,8 @@
     EventInfo{
         EventId::RegistryAnswerTooLarge, Warning, "RegistryAnswerTooLarge",
         "the changes of the registry are too large for one answer; its content is read again"},
+    EventInfo{EventId::RegistryRestored, Warning, "RegistryRestored",
+              "the registry has come back from an older copy of its content"},
     EventInfo{EventId::QueryRefused, Info, "QueryRefused", "a query was refused and not executed"},
     EventInfo{EventId::QueryPartial, Info, "QueryPartial",
               "an answer does not cover all requested shards"},
--- a/modules/gateway/include/oleander/gateway/Registry.h
+++ b/modules/gateway/include/oleander/gateway/Registry.h
@@ -33,6 +33,8 @@
     RegistryError error = RegistryError::None;
     std::vector<RegistryItem> items;
     RegistryRevision revision = 0;
+    /// Rises each time the registry comes back from an older copy of its content.
+    std::uint64_t epoch = 0;
     /// More items follow after the last one.
     bool isTruncated = false;
     /// The answer came from another instance, which last received an answer from the registry `age`
--- a/modules/gateway/include/oleander/gateway/RegistryFollower.h
+++ b/modules/gateway/include/oleander/gateway/RegistryFollower.h
@@ -73,7 +73,8 @@
     void onWatched(const RegistryAnswer &answer);
     void retryAfter(RegistryError error, bool isFullRead);
     void updateContentTime(const RegistryAnswer &answer);
-    void onSuccess(Duration age);
+    void onSuccess(const RegistryAnswer &answer);
+    void noteEpoch(const RegistryAnswer &answer);
     void schedule(Duration delay, void (RegistryFollower::*step)());
     void restart();
 
@@ -87,6 +88,8 @@
     std::vector<RegistryItem> m_items;
     std::optional<RegistryRevision> m_firstPageRevision;
     RegistryRevision m_revision = 0;
+    /// Epoch of the registry's own last answer.
+    std::optional<std::uint64_t> m_epoch;
     int m_failures = 0;
     std::uint64_t m_oversizedWatches = 0;
     TimePoint m_callStarted{};
--- a/modules/gateway/src/RegistryFollower.cpp
+++ b/modules/gateway/src/RegistryFollower.cpp
@@ -78,7 +78,7 @@
         retryAfter(answer.error, true);
         return;
     }
-    onSuccess(answer.age);
+    onSuccess(answer);
     if (!m_firstPageRevision)
         m_firstPageRevision = answer.revision;
     std::ranges::move(answer.items, std::back_inserter(m_items));
@@ -116,7 +116,7 @@
         retryAfter(answer.error, answer.error == RegistryError::HistoryGone);
         return;
     }
-    onSuccess(answer.age);
+    onSuccess(answer);
     m_revision = std::max(m_revision, answer.revision);
     if (!answer.items.empty())
         m_listener.onChanges(answer.items, m_revision);
@@ -162,9 +162,10 @@
         m_completeAsOf = m_callStarted + (answer.items.empty() ? m_timing.watchWait : Duration{});
 }
 
-void RegistryFollower::onSuccess(Duration age)
+void RegistryFollower::onSuccess(const RegistryAnswer &answer)
 {
-    const TimePoint confirmedAt = m_timer.now() - age;
+    noteEpoch(answer);
+    const TimePoint confirmedAt = m_timer.now() - answer.age;
     if (m_failures > 0) {
         const Duration outage = m_lastSuccess ? confirmedAt - *m_lastSuccess : Duration{};
         m_log.record(EventId::PlatformReachable, {},
@@ -175,6 +176,18 @@
     m_lastSuccess = m_lastSuccess ? std::max(*m_lastSuccess, confirmedAt) : confirmedAt;
 }
 
+void RegistryFollower::noteEpoch(const RegistryAnswer &answer)
+{
+    if (answer.isFromPeer
+        || std::exchange(m_epoch, answer.epoch).value_or(answer.epoch) == answer.epoch)
+        return;
+    m_log.record(EventId::RegistryRestored, {},
+                 {{"prefix", m_prefix},
+                  {"epoch", answer.epoch},
+                  {"revision", answer.revision},
+                  {"heldRevision", m_revision}});
+}
+
 void RegistryFollower::schedule(Duration delay, void (RegistryFollower::*step)())
 {
     m_nextStep = m_timer.callAfter(delay, [this, step](const TimerTick &) { (this->*step)(); });
