Positions in the registry's history are ordered by epoch, then by revision

Cause: a reader's copy, the follower and the reader of other instances each kept the highest revision that they had seen. The restored store gives revisions out again, so changes in the new history had lower ones than the copy's, and instances that asked for the changes after the old revision were told of none.

RegistryShareTest.ChangeAfterARestoreIsKnownInTimeByAllInstances fails when the simulated registry states no new epoch.

Why it works: a position is an epoch and a revision. Content of another epoch is a new history: a watch that is answered in one is followed by a full read, pages of two epochs are not put together, a copy tells no changes from before, and a reader that has not noticed the restore is passed over.

--- a/modules/adapters/src/peers/PackedRegistryChanges.cpp
+++ b/modules/adapters/src/peers/PackedRegistryChanges.cpp
@@ -72,7 +72,7 @@
     const std::uint64_t digest = digestOf(changes.items);
     if (last.items.empty() || last.digest != digest)
         last = {digest, compress(changes.items)};
-    return {changes.isKnown, last.items, changes.revision, changes.age};
+    return {changes.isKnown, last.items, changes.position, changes.age};
 }
 
 std::optional<RegistryChanges> unpack(PackedRegistryChanges packed, Reason &reason)
@@ -103,7 +103,7 @@
         return std::nullopt;
     }
     changes.isKnown = packed.isKnown;
-    changes.revision = packed.revision;
+    changes.position = packed.position;
     changes.age = packed.age;
     return changes;
 }
--- a/modules/adapters/src/peers/PackedRegistryChanges.h
+++ b/modules/adapters/src/peers/PackedRegistryChanges.h
@@ -15,7 +15,7 @@
     bool isKnown = true;
     /// The items as MessagePack, compressed with Zstandard.
     std::string items;
-    std::uint64_t revision = 0;
+    RegistryPosition position;
     Duration age{};
 };
 
--- a/modules/adapters/src/peers/PeerFields.h
+++ b/modules/adapters/src/peers/PeerFields.h
@@ -146,6 +146,14 @@
     visitor("stopping", isStopping);
 }
 
+template <Is<RegistryPosition> T, typename Visitor>
+void visit(T &message, Visitor &&visitor)
+{
+    auto &[epoch, revision] = message;
+    visitor("epoch", epoch);
+    visitor("revision", revision);
+}
+
 template <Is<RegistryChangesRequest> T, typename Visitor>
 void visit(T &message, Visitor &&visitor)
 {
@@ -166,20 +174,20 @@
 template <Is<RegistryChanges> T, typename Visitor>
 void visit(T &message, Visitor &&visitor)
 {
-    auto &[isKnown, items, revision, age] = message;
+    auto &[isKnown, items, position, age] = message;
     visitor("known", isKnown);
     visitor("items", items);
-    visitor("revision", revision);
+    visitor("position", position);
     visitor("age", age);
 }
 
 template <Is<PackedRegistryChanges> T, typename Visitor>
 void visit(T &message, Visitor &&visitor)
 {
-    auto &[isKnown, items, revision, age] = message;
+    auto &[isKnown, items, position, age] = message;
     visitor("known", isKnown);
     visitor("items", items);
-    visitor("revision", revision);
+    visitor("position", position);
     visitor("age", age);
 }
 
--- a/modules/adapters/tests/peers/PeerCodecTest.cpp
+++ b/modules/adapters/tests/peers/PeerCodecTest.cpp
@@ -41,11 +41,16 @@
     return views;
 }
 
+RegistryPosition arbitraryPosition()
+{
+    return {*rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint64_t>()};
+}
+
 RegistryChangesRequest registryQuestion()
 {
     RegistryChangesRequest question;
     if (*rc::gen::arbitrary<bool>())
-        question.after = *rc::gen::arbitrary<std::uint64_t>();
+        question.after = arbitraryPosition();
     question.wait = *generators::duration();
     return question;
 }
@@ -58,7 +63,7 @@
         news.items.push_back({*rc::gen::arbitrary<std::string>(),
                               *rc::gen::arbitrary<std::string>(), *rc::gen::arbitrary<bool>()});
     }
-    news.revision = *rc::gen::arbitrary<std::uint64_t>();
+    news.position = arbitraryPosition();
     news.age = *generators::duration();
     return news;
 }
@@ -164,7 +169,7 @@
                               R"({"service":"s)" + text + R"(","state":"ready","slots":3})",
                               false});
     }
-    news.revision = 7;
+    news.position.revision = 7;
     news.age = milliseconds(3);
     return news;
 }
@@ -183,7 +188,7 @@
     EXPECT_EQ(decodePeerReply(bytes, reason), PeerReply(news));
     // The compressed items that are kept for further replies are not those of other content.
     news.items.back().value = "changed";
-    news.revision = 8;
+    news.position.revision = 8;
     EXPECT_EQ(decodePeerReply(encodePeerReply(news), reason), PeerReply(news));
 }
 
--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -196,15 +196,15 @@
 
     // RegistryListener
     void onItems(const std::vector<gateway::RegistryItem> &items,
-                 gateway::RegistryRevision revision) override
+                 gateway::RegistryPosition position) override
     {
-        m_view.onItems(items, revision);
+        m_view.onItems(items, position);
         m_share.onChanged();
     }
     void onChanges(const std::vector<gateway::RegistryItem> &changes,
-                   gateway::RegistryRevision revision) override
+                   gateway::RegistryPosition position) override
     {
-        m_view.onChanges(changes, revision);
+        m_view.onChanges(changes, position);
         m_share.onChanged();
     }
     void onReconnected(Duration outage) override { m_view.onReconnected(outage); }
--- a/modules/daemon/src/RegistryView.cpp
+++ b/modules/daemon/src/RegistryView.cpp
@@ -18,7 +18,7 @@
 }
 
 void RegistryView::onItems(const std::vector<RegistryItem> &items,
-                           gateway::RegistryRevision revision)
+                           gateway::RegistryPosition position)
 {
     std::vector<gateway::ServerRegistration> registrations;
     std::vector<RegistryItem> mattering;
@@ -33,24 +33,24 @@
             }
         }
     }
-    m_copy.replaceAll(mattering, revision, [this](const auto &held, const auto &given) {
+    m_copy.replaceAll(mattering, position, [this](const auto &held, const auto &given) {
         return hasSameMeaning(held, given);
     });
     m_directory.replaceAll(std::move(registrations), m_timer.now());
 }
 
 void RegistryView::onChanges(const std::vector<RegistryItem> &changes,
-                             gateway::RegistryRevision revision)
+                             gateway::RegistryPosition position)
 {
     for (const RegistryItem &item : changes)
-        applyChange(item, revision);
+        applyChange(item, position);
 }
 
-void RegistryView::applyChange(const RegistryItem &item, gateway::RegistryRevision revision)
+void RegistryView::applyChange(const RegistryItem &item, gateway::RegistryPosition position)
 {
     if (isConfiguration(item)) {
         applyConfiguration(item);
-        m_copy.note(item, revision);
+        m_copy.note(item, position);
         return;
     }
     if (!isServer(item))
@@ -59,12 +59,12 @@
     if (registration) {
         // Most changes are renewals, which say nothing new.
         if (m_directory.put(std::move(*registration)) || !m_copy.holds(item.key))
-            m_copy.note(item, revision);
+            m_copy.note(item, position);
         return;
     }
     m_directory.remove(ServerId(item.key.substr(m_platform.serverPrefix.size())), m_timer.now());
     if (m_copy.holds(item.key))
-        m_copy.note({item.key, {}, true}, revision);
+        m_copy.note({item.key, {}, true}, position);
 }
 
 void RegistryView::onReconnected(Duration outage)
--- a/modules/daemon/src/RegistryView.h
+++ b/modules/daemon/src/RegistryView.h
@@ -20,9 +20,9 @@
                  TimerService &timer, EventLog &log, Duration lease, Apply apply);
 
     void onItems(const std::vector<gateway::RegistryItem> &items,
-                 gateway::RegistryRevision revision) override;
+                 gateway::RegistryPosition position) override;
     void onChanges(const std::vector<gateway::RegistryItem> &changes,
-                   gateway::RegistryRevision revision) override;
+                   gateway::RegistryPosition position) override;
     void onReconnected(Duration outage) override;
 
     /// The registry was read whole at least once.
@@ -36,7 +36,7 @@
     [[nodiscard]] bool isServer(const gateway::RegistryItem &item) const;
     [[nodiscard]] bool isConfiguration(const gateway::RegistryItem &item) const;
     std::optional<gateway::ServerRegistration> readServer(const gateway::RegistryItem &item);
-    void applyChange(const gateway::RegistryItem &item, gateway::RegistryRevision revision);
+    void applyChange(const gateway::RegistryItem &item, gateway::RegistryPosition position);
     void applyConfiguration(const gateway::RegistryItem &item);
 
     const GatewayPlatform &m_platform;
--- a/modules/gateway/include/oleander/gateway/Registry.h
+++ b/modules/gateway/include/oleander/gateway/Registry.h
@@ -10,9 +10,7 @@
 namespace oleander::gateway {
 
 using oleander::RegistryItem;
-
-/// Revision number of the registry; increases with each change.
-using RegistryRevision = std::uint64_t;
+using oleander::RegistryPosition;
 
 enum class RegistryError {
     None,
@@ -20,7 +18,7 @@
     Unreachable,
     /// The registry answered with an error status.
     Refused,
-    /// The requested revision is no longer in the history; the whole content must be read again.
+    /// The requested position is no longer in the history; the whole content must be read again.
     HistoryGone,
     /// The answer could not be parsed.
     Malformed,
@@ -32,9 +30,7 @@
 {
     RegistryError error = RegistryError::None;
     std::vector<RegistryItem> items;
-    RegistryRevision revision = 0;
-    /// Rises each time the registry comes back from an older copy of its content.
-    std::uint64_t epoch = 0;
+    RegistryPosition position;
     /// More items follow after the last one.
     bool isTruncated = false;
     /// The answer came from another instance, which last received an answer from the registry `age`
@@ -54,9 +50,9 @@
 
     /// Lists items whose key begins with `prefix`, ordered by key, starting after `afterKey`.
     virtual void list(const std::string &prefix, const std::string &afterKey, Callback done) = 0;
-    /// Returns the changes after `revision` as soon as there are any, or an empty list after
-    /// `wait`.
-    virtual void watch(const std::string &prefix, RegistryRevision revision, Duration wait,
+    /// Returns the changes after `position` as soon as there are any, or an empty list after
+    /// `wait`. An answer of another epoch does not tell all of them.
+    virtual void watch(const std::string &prefix, RegistryPosition position, Duration wait,
                        Callback done) = 0;
 };
 
--- a/modules/gateway/include/oleander/gateway/RegistryCopy.h
+++ b/modules/gateway/include/oleander/gateway/RegistryCopy.h
@@ -12,7 +12,7 @@
 
 /// A local copy of the registry, from which other instances are answered.
 ///
-/// Stores each item with the revision of its last known change, and tombstones for removed keys.
+/// Stores each item with the position of its last known change, and tombstones for removed keys.
 /// Lease renewals that do not change an item's content must not be passed to note(): they are most
 /// of the registry's traffic.
 class RegistryCopy
@@ -21,23 +21,24 @@
     /// Returns true if two items of the same key have equal content apart from lease renewals.
     using Equivalence = std::function<bool(const RegistryItem &held, const RegistryItem &given)>;
 
-    /// Replaces the content with that of the registry at a revision. Missing items are marked as
-    /// removed, and equivalent items keep their revision.
-    void replaceAll(const std::vector<RegistryItem> &items, RegistryRevision revision,
+    /// Replaces the content with that of the registry at a position. Missing items are marked as
+    /// removed, and equivalent items keep their position. In another epoch than before, no earlier
+    /// position has a history.
+    void replaceAll(const std::vector<RegistryItem> &items, RegistryPosition position,
                     const Equivalence &isEquivalent);
-    /// Stores an item that was changed or removed at `revision` or earlier.
-    void note(const RegistryItem &item, RegistryRevision revision);
+    /// Stores an item that was changed or removed at `position` or earlier.
+    void note(const RegistryItem &item, RegistryPosition position);
 
     /// Returns true if the copy contains an item of this key.
     [[nodiscard]] bool holds(const std::string &key) const;
-    /// Revision of the latest change.
-    [[nodiscard]] RegistryRevision revision() const { return m_revision; }
+    /// Position of the latest change.
+    [[nodiscard]] RegistryPosition position() const { return m_position; }
     /// Returns true once replaceAll() was called.
     [[nodiscard]] bool isComplete() const { return m_isComplete; }
     /// Returns all items that are not removed.
     [[nodiscard]] std::vector<RegistryItem> items() const;
-    /// Returns the changes after a revision, or nothing if the history does not go back that far.
-    [[nodiscard]] std::optional<std::vector<RegistryItem>> since(RegistryRevision revision) const;
+    /// Returns the changes after a position, or nothing if the history does not contain it.
+    [[nodiscard]] std::optional<std::vector<RegistryItem>> since(RegistryPosition position) const;
 
     /// Maximum number of tombstones. When exceeded, all tombstones and the history are discarded.
     static constexpr std::size_t maximumTombstones = 4096;
@@ -46,14 +47,14 @@
     struct Entry
     {
         RegistryItem item;
-        RegistryRevision changedAt = 0;
+        RegistryPosition changedAt;
     };
 
     std::unordered_map<std::string, Entry> m_entries;
     std::size_t m_tombstones = 0;
-    RegistryRevision m_revision = 0;
-    /// The history is complete only after this revision.
-    RegistryRevision m_historyStart = 0;
+    RegistryPosition m_position;
+    /// The history is complete only after this position.
+    RegistryPosition m_historyStart;
     bool m_isComplete = false;
 };
 
--- a/modules/gateway/include/oleander/gateway/RegistryFollower.h
+++ b/modules/gateway/include/oleander/gateway/RegistryFollower.h
@@ -39,15 +39,16 @@
     virtual ~RegistryListener() = default;
 
     /// Called with all items of the prefix. Pages are read one after another, so the items may be
-    /// of different revisions; changes since the first page follow through onChanges().
-    virtual void onItems(const std::vector<RegistryItem> &items, RegistryRevision revision) = 0;
-    virtual void onChanges(const std::vector<RegistryItem> &changes, RegistryRevision revision) = 0;
+    /// of different positions; changes since the first page follow through onChanges().
+    virtual void onItems(const std::vector<RegistryItem> &items, RegistryPosition position) = 0;
+    virtual void onChanges(const std::vector<RegistryItem> &changes, RegistryPosition position) = 0;
     /// Called when the registry answers again after an outage of this length.
     virtual void onReconnected(Duration outage) = 0;
 };
 
 /// Follows one prefix of the registry: lists all items, then watches for changes, and lists again
-/// when the history is no longer available. Runs until the follower is destroyed.
+/// when the history is no longer available or the registry was restored from a copy. Runs until the
+/// follower is destroyed.
 class RegistryFollower
 {
 public:
@@ -74,7 +75,7 @@
     void retryAfter(RegistryError error, bool isFullRead);
     void updateContentTime(const RegistryAnswer &answer);
     void onSuccess(const RegistryAnswer &answer);
-    void noteEpoch(const RegistryAnswer &answer);
+    void noteRestored(const RegistryPosition &position) const;
     void schedule(Duration delay, void (RegistryFollower::*step)());
     void restart();
 
@@ -86,10 +87,8 @@
     RandomSource &m_random;
     EventLog &m_log;
     std::vector<RegistryItem> m_items;
-    std::optional<RegistryRevision> m_firstPageRevision;
-    RegistryRevision m_revision = 0;
-    /// Epoch of the registry's own last answer.
-    std::optional<std::uint64_t> m_epoch;
+    std::optional<RegistryPosition> m_firstPagePosition;
+    RegistryPosition m_position;
     int m_failures = 0;
     std::uint64_t m_oversizedWatches = 0;
     TimePoint m_callStarted{};
--- a/modules/gateway/include/oleander/gateway/RegistryRelay.h
+++ b/modules/gateway/include/oleander/gateway/RegistryRelay.h
@@ -39,12 +39,12 @@
 private:
     struct PendingRequest
     {
-        RegistryRevision after = 0;
+        RegistryPosition after;
         TimePoint deadline{};
         Reply reply;
     };
 
-    [[nodiscard]] RegistryChanges buildChanges(std::optional<RegistryRevision> after) const;
+    [[nodiscard]] RegistryChanges buildChanges(std::optional<RegistryPosition> after) const;
     [[nodiscard]] bool isStale() const;
     void answerDue();
 
--- a/modules/gateway/include/oleander/gateway/SharedRegistryReader.h
+++ b/modules/gateway/include/oleander/gateway/SharedRegistryReader.h
@@ -41,7 +41,7 @@
 
     // RegistryReader
     void list(const std::string &prefix, const std::string &afterKey, Callback done) override;
-    void watch(const std::string &prefix, RegistryRevision revision, Duration wait,
+    void watch(const std::string &prefix, RegistryPosition position, Duration wait,
                Callback done) override;
 
     /// Maximum wait for changes in a query to a reader.
@@ -78,8 +78,8 @@
     TimerService &m_timer;
     EventLog &m_log;
     std::unordered_map<InstanceId, Reader> m_readers;
-    /// Highest revision that was delivered. Content of a lower revision would revert known changes.
-    RegistryRevision m_deliveredRevision = 0;
+    /// Highest position that was delivered. Content of a lower one would revert known changes.
+    RegistryPosition m_deliveredPosition;
     std::string m_source;
     std::shared_ptr<int> m_lifetime = std::make_shared<int>();
 };
--- a/modules/gateway/src/RegistryCopy.cpp
+++ b/modules/gateway/src/RegistryCopy.cpp
@@ -5,16 +5,17 @@
 
 namespace oleander::gateway {
 
-void RegistryCopy::replaceAll(const std::vector<RegistryItem> &items, RegistryRevision revision,
+void RegistryCopy::replaceAll(const std::vector<RegistryItem> &items, RegistryPosition position,
                               const Equivalence &isEquivalent)
 {
+    const bool isNewHistory = !m_isComplete || position.epoch != m_position.epoch;
     std::unordered_set<std::string> present;
     for (const RegistryItem &item : items) {
         present.insert(item.key);
         const auto held = m_entries.find(item.key);
         if (held == m_entries.end() || held->second.item.isRemoved
             || !isEquivalent(held->second.item, item))
-            note(item, revision);
+            note(item, position);
     }
     std::vector<std::string> absent;
     for (const auto &[key, entry] : m_entries) {
@@ -22,25 +23,27 @@
             absent.push_back(key);
     }
     for (const std::string &key : absent)
-        note({key, {}, true}, revision);
-    if (!m_isComplete)
-        m_historyStart = revision;
+        note({key, {}, true}, position);
+    if (isNewHistory) {
+        m_historyStart = position;
+        m_position = position;
+    }
     m_isComplete = true;
-    m_revision = std::max(m_revision, revision);
+    m_position = std::max(m_position, position);
 }
 
-void RegistryCopy::note(const RegistryItem &item, RegistryRevision revision)
+void RegistryCopy::note(const RegistryItem &item, RegistryPosition position)
 {
     Entry &entry = m_entries[item.key];
     m_tombstones -= entry.item.isRemoved ? 1 : 0;
-    entry = {item, revision};
+    entry = {item, position};
     m_tombstones += item.isRemoved ? 1 : 0;
-    m_revision = std::max(m_revision, revision);
+    m_position = std::max(m_position, position);
     if (m_tombstones <= maximumTombstones)
         return;
     std::erase_if(m_entries, [](const auto &held) { return held.second.item.isRemoved; });
     m_tombstones = 0;
-    m_historyStart = m_revision;
+    m_historyStart = m_position;
 }
 
 bool RegistryCopy::holds(const std::string &key) const
@@ -59,15 +62,15 @@
     return result;
 }
 
-std::optional<std::vector<RegistryItem>> RegistryCopy::since(RegistryRevision revision) const
+std::optional<std::vector<RegistryItem>> RegistryCopy::since(RegistryPosition position) const
 {
-    if (!m_isComplete || revision < m_historyStart)
+    if (!m_isComplete || position < m_historyStart || position.epoch != m_position.epoch)
         return std::nullopt;
     std::vector<RegistryItem> result;
-    if (revision >= m_revision)
+    if (position >= m_position)
         return result;
     for (const auto &[key, entry] : m_entries) {
-        if (entry.changedAt > revision)
+        if (entry.changedAt > position)
             result.push_back(entry.item);
     }
     return result;
--- a/modules/gateway/src/RegistryFollower.cpp
+++ b/modules/gateway/src/RegistryFollower.cpp
@@ -57,7 +57,7 @@
 void RegistryFollower::restart()
 {
     m_items.clear();
-    m_firstPageRevision.reset();
+    m_firstPagePosition.reset();
     m_listStarted = m_timer.now();
     readPage({});
 }
@@ -79,23 +79,28 @@
         return;
     }
     onSuccess(answer);
-    if (!m_firstPageRevision)
-        m_firstPageRevision = answer.revision;
+    if (!m_firstPagePosition)
+        m_firstPagePosition = answer.position;
+    if (answer.position.epoch != m_firstPagePosition->epoch) {
+        restart();
+        return;
+    }
     std::ranges::move(answer.items, std::back_inserter(m_items));
     if (answer.isTruncated && !m_items.empty()) {
         readPage(m_items.back().key);
         return;
     }
-    m_revision = *m_firstPageRevision;
+    noteRestored(*m_firstPagePosition);
+    m_position = *m_firstPagePosition;
     m_completeAsOf = answer.isFromPeer ? m_timer.now() - answer.age : m_listStarted;
-    m_listener.onItems(std::exchange(m_items, {}), m_revision);
+    m_listener.onItems(std::exchange(m_items, {}), m_position);
     watch();
 }
 
 void RegistryFollower::watch()
 {
     m_callStarted = m_timer.now();
-    m_reader.watch(m_prefix, m_revision, m_timing.watchWait,
+    m_reader.watch(m_prefix, m_position, m_timing.watchWait,
                    [this, lifetime = std::weak_ptr(m_lifetime)](const RegistryAnswer &answer) {
                        if (!lifetime.expired())
                            onWatched(answer);
@@ -108,7 +113,7 @@
         // The same watch would return even more. The content, in pages, is not larger than ever.
         ++m_oversizedWatches;
         m_log.record(EventId::RegistryAnswerTooLarge, {},
-                     {{"prefix", m_prefix}, {"after", m_revision}});
+                     {{"prefix", m_prefix}, {"after", m_position.revision}});
         restart();
         return;
     }
@@ -117,9 +122,14 @@
         return;
     }
     onSuccess(answer);
-    m_revision = std::max(m_revision, answer.revision);
+    if (answer.position.epoch != m_position.epoch) {
+        // The changes after the held position belong to another history.
+        restart();
+        return;
+    }
+    m_position = std::max(m_position, answer.position);
     if (!answer.items.empty())
-        m_listener.onChanges(answer.items, m_revision);
+        m_listener.onChanges(answer.items, m_position);
     updateContentTime(answer);
     if (!answer.isFromPeer && answer.items.size() >= m_timing.fullBatchSize) {
         watch();
@@ -130,6 +140,18 @@
     schedule(std::max(Duration{}, period - elapsed), &RegistryFollower::watch);
 }
 
+void RegistryFollower::noteRestored(const RegistryPosition &position) const
+{
+    if (!m_completeAsOf || position.epoch == m_position.epoch)
+        return;
+    m_log.record(EventId::RegistryRestored, {},
+                 {{"prefix", m_prefix},
+                  {"epoch", position.epoch},
+                  {"revision", position.revision},
+                  {"heldEpoch", m_position.epoch},
+                  {"heldRevision", m_position.revision}});
+}
+
 void RegistryFollower::retryAfter(RegistryError error, bool isFullRead)
 {
     ++m_failures;
@@ -164,7 +186,6 @@
 
 void RegistryFollower::onSuccess(const RegistryAnswer &answer)
 {
-    noteEpoch(answer);
     const TimePoint confirmedAt = m_timer.now() - answer.age;
     if (m_failures > 0) {
         const Duration outage = m_lastSuccess ? confirmedAt - *m_lastSuccess : Duration{};
@@ -176,18 +197,6 @@
     m_lastSuccess = m_lastSuccess ? std::max(*m_lastSuccess, confirmedAt) : confirmedAt;
 }
 
-void RegistryFollower::noteEpoch(const RegistryAnswer &answer)
-{
-    if (answer.isFromPeer
-        || std::exchange(m_epoch, answer.epoch).value_or(answer.epoch) == answer.epoch)
-        return;
-    m_log.record(EventId::RegistryRestored, {},
-                 {{"prefix", m_prefix},
-                  {"epoch", answer.epoch},
-                  {"revision", answer.revision},
-                  {"heldRevision", m_revision}});
-}
-
 void RegistryFollower::schedule(Duration delay, void (RegistryFollower::*step)())
 {
     m_nextStep = m_timer.callAfter(delay, [this, step](const TimerTick &) { (this->*step)(); });
--- a/modules/gateway/src/RegistryRelay.cpp
+++ b/modules/gateway/src/RegistryRelay.cpp
@@ -1,6 +1,6 @@
 #include <oleander/gateway/RegistryRelay.h>
 
-#include <unordered_map>
+#include <map>
 #include <utility>
 
 namespace oleander::gateway {
@@ -48,26 +48,26 @@
     std::list<PendingRequest> due;
     for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
         const auto next = std::next(entry);
-        if (isSourceStale || now >= entry->deadline || m_copy.revision() > entry->after)
+        if (isSourceStale || now >= entry->deadline || m_copy.position() > entry->after)
             due.splice(due.end(), m_waiting, entry);
         entry = next;
     }
     if (m_waiting.empty())
         m_checkTimer.reset();
-    // Most waiting requests ask for the same revision, so answers are built once for each revision.
-    std::unordered_map<RegistryRevision, RegistryChanges> changesByRevision;
+    // Most waiting requests ask for the same position, so answers are built once for each.
+    std::map<RegistryPosition, RegistryChanges> changesByPosition;
     for (PendingRequest &entry : due) {
-        const auto [found, isNew] = changesByRevision.try_emplace(entry.after);
+        const auto [found, isNew] = changesByPosition.try_emplace(entry.after);
         if (isNew)
             found->second = buildChanges(entry.after);
         entry.reply(found->second);
     }
 }
 
-RegistryChanges RegistryRelay::buildChanges(std::optional<RegistryRevision> after) const
+RegistryChanges RegistryRelay::buildChanges(std::optional<RegistryPosition> after) const
 {
     RegistryChanges result;
-    result.revision = m_copy.revision();
+    result.position = m_copy.position();
     result.age = m_age().value_or(unknownAge);
     auto items = after ? m_copy.since(*after) : std::optional(m_copy.items());
     result.isKnown = items && m_copy.isComplete();
--- a/modules/gateway/src/SharedRegistryReader.cpp
+++ b/modules/gateway/src/SharedRegistryReader.cpp
@@ -20,7 +20,7 @@
     RegistryAnswer answer;
     answer.isFromPeer = true;
     answer.age = changes.age;
-    answer.revision = changes.revision;
+    answer.position = changes.position;
     if (!changes.isKnown)
         answer.error = RegistryError::HistoryGone;
     answer.items = std::move(changes.items);
@@ -69,7 +69,7 @@
     requestChanges(reader->instance, {},
                    [this, id, prefix, done](std::optional<RegistryChanges> changes) {
                        if (!changes || !changes->isKnown || isStale(*changes)
-                           || changes->revision < m_deliveredRevision) {
+                           || changes->position < m_deliveredPosition) {
                            noteFailure(id, changes ? "its registry content is stale" : "no answer");
                            listDirectly(prefix, done);
                            return;
@@ -78,12 +78,12 @@
                    });
 }
 
-void SharedRegistryReader::watch(const std::string &prefix, RegistryRevision revision,
+void SharedRegistryReader::watch(const std::string &prefix, RegistryPosition position,
                                  Duration wait, Callback done)
 {
     Reader *reader = m_role.isReader ? nullptr : chooseReader();
-    const auto watchDirectly = [this, prefix, revision, wait, done] {
-        m_direct.watch(prefix, revision, wait,
+    const auto watchDirectly = [this, prefix, position, wait, done] {
+        m_direct.watch(prefix, position, wait,
                        [this, done, lifetime = std::weak_ptr(m_lifetime)](RegistryAnswer answer) {
                            if (!lifetime.expired())
                                deliver(registrySource, std::move(answer), done);
@@ -94,15 +94,18 @@
         return;
     }
     const InstanceId id = reader->instance.id;
-    requestChanges(reader->instance, {revision, maximumChangesWait},
-                   [this, id, watchDirectly, done](std::optional<RegistryChanges> changes) {
-                       if (!changes || isStale(*changes)) {
-                           noteFailure(id, changes ? "its registry content is stale" : "no answer");
-                           watchDirectly();
-                           return;
-                       }
-                       deliver(id.text(), toRegistryAnswer(std::move(*changes)), done);
-                   });
+    requestChanges(
+        reader->instance, {position, maximumChangesWait},
+        [this, id, position, watchDirectly, done](std::optional<RegistryChanges> changes) {
+            // A reader of an earlier epoch has not noticed yet that the registry was
+            // restored.
+            if (!changes || isStale(*changes) || changes->position.epoch < position.epoch) {
+                noteFailure(id, changes ? "its registry content is stale" : "no answer");
+                watchDirectly();
+                return;
+            }
+            deliver(id.text(), toRegistryAnswer(std::move(*changes)), done);
+        });
 }
 
 SharedRegistryReader::Reader *SharedRegistryReader::chooseReader()
@@ -156,7 +159,8 @@
                    lifetime = std::weak_ptr(m_lifetime)](RegistryAnswer answer) {
                       if (lifetime.expired())
                           return;
-                      if (answer.error != RegistryError::None && m_deliveredRevision == 0) {
+                      if (answer.error != RegistryError::None
+                          && m_deliveredPosition == RegistryPosition()) {
                           listFromStaleReader(std::move(answer), done);
                           return;
                       }
@@ -206,8 +210,10 @@
         m_log.record(EventId::RegistrySourceChanged, {},
                      {{"source", source}, {"ageMs", inMilliseconds(answer.age)}});
     }
-    if (isSuccess)
-        m_deliveredRevision = std::max(m_deliveredRevision, answer.revision);
+    if (isSuccess && answer.position.epoch != m_deliveredPosition.epoch)
+        m_deliveredPosition = answer.position;
+    else if (isSuccess)
+        m_deliveredPosition = std::max(m_deliveredPosition, answer.position);
     done(std::move(answer));
 }
 
--- a/modules/gateway/tests/RegistryFollowerTest.cpp
+++ b/modules/gateway/tests/RegistryFollowerTest.cpp
@@ -26,9 +26,9 @@
         calls.push_back("list " + afterKey);
         answer(std::move(done));
     }
-    void watch(const std::string &, RegistryRevision revision, Duration, Callback done) override
+    void watch(const std::string &, RegistryPosition position, Duration, Callback done) override
     {
-        calls.push_back("watch " + std::to_string(revision));
+        calls.push_back("watch " + std::to_string(position.revision));
         answer(std::move(done));
     }
 
@@ -51,27 +51,33 @@
 
 struct RegistryFollowerTest : ::testing::Test, RegistryListener
 {
-    void onItems(const std::vector<RegistryItem> &newItems, RegistryRevision) override
+    void onItems(const std::vector<RegistryItem> &newItems, RegistryPosition) override
     {
         items = newItems;
     }
-    void onChanges(const std::vector<RegistryItem> &newItems, RegistryRevision) override
+    void onChanges(const std::vector<RegistryItem> &newItems, RegistryPosition) override
     {
         changes.insert(changes.end(), newItems.begin(), newItems.end());
     }
     void onReconnected(Duration) override { ++recoveries; }
 
-    static RegistryAnswer page(std::vector<std::string> keys, RegistryRevision revision,
+    static RegistryAnswer page(std::vector<std::string> keys, std::uint64_t revision,
                                bool isTruncated = false)
     {
         RegistryAnswer answer;
         for (std::string &key : keys)
             answer.items.push_back({std::move(key), "value", false});
-        answer.revision = revision;
+        answer.position.revision = revision;
         answer.isTruncated = isTruncated;
         return answer;
     }
 
+    static RegistryAnswer ofEpoch(std::uint64_t epoch, RegistryAnswer answer)
+    {
+        answer.position.epoch = epoch;
+        return answer;
+    }
+
     static RegistryAnswer failure(RegistryError error)
     {
         RegistryAnswer answer;
@@ -131,6 +137,23 @@
     EXPECT_EQ(items.front().key, "p/b");
 }
 
+// Guards against changes that are missed because the registry was restored between two calls.
+TEST_F(RegistryFollowerTest, ReadsAllItemsAgainWhenTheRegistryWasRestored)
+{
+    registry.answers = {page({"p/a"}, 7), ofEpoch(1, page({"p/x"}, 9)),
+                        ofEpoch(1, page({"p/b"}, 9, true)), ofEpoch(2, page({"p/c"}, 5)),
+                        ofEpoch(2, page({"p/d"}, 5))};
+    follower.start();
+    scheduler.runFor(seconds(3));
+    const std::vector<std::string> expected{"list ",    "watch 7", "list ",
+                                            "list p/b", "list ",   "watch 5"};
+    EXPECT_EQ(registry.calls, expected);
+    EXPECT_TRUE(changes.empty()) << "the watch told some of the changes only";
+    ASSERT_EQ(items.size(), 1U);
+    EXPECT_EQ(items.front().key, "p/d");
+    EXPECT_EQ(log.count(EventId::RegistryRestored), 1U);
+}
+
 TEST_F(RegistryFollowerTest, RepeatedFullReadsAreRateLimited)
 {
     for (int round = 0; round < 100; ++round) {
@@ -159,7 +182,7 @@
     for (std::size_t number = 0; number < pace.fullBatchSize; ++number)
         batch.push_back("p/" + std::to_string(number));
     registry.answers = {page({"p/a"}, 7)};
-    for (RegistryRevision revision = 8; revision < 3000; ++revision)
+    for (std::uint64_t revision = 8; revision < 3000; ++revision)
         registry.answers.push_back(page(batch, revision));
     follower.start();
     scheduler.runFor(seconds(2));
@@ -193,7 +216,7 @@
 TEST_F(RegistryFollowerTest, FrequentChangesAreReadInBatches)
 {
     registry.answers.push_back(page({"p/a"}, 1));
-    for (RegistryRevision revision = 2; revision < 100; ++revision)
+    for (std::uint64_t revision = 2; revision < 100; ++revision)
         registry.answers.push_back(page({"p/a"}, revision));
     follower.start();
     scheduler.runFor(seconds(16));
--- a/modules/gateway/tests/RegistryShareTest.cpp
+++ b/modules/gateway/tests/RegistryShareTest.cpp
@@ -21,6 +21,11 @@
     return result;
 }
 
+RegistryPosition at(std::uint64_t revision, std::uint64_t epoch = 0)
+{
+    return {epoch, revision};
+}
+
 /// Compares the values up to the renewal count after '#', which is not part of the state.
 bool haveSameState(const RegistryItem &stored, const RegistryItem &offered)
 {
@@ -31,31 +36,31 @@
 TEST(RegistryCopy, ReturnsChangesAndRemovalsSinceARevision)
 {
     RegistryCopy copy;
-    EXPECT_FALSE(copy.since(0));
-    copy.replaceAll(makeItems({"a", "b"}), 10, haveSameState);
-    copy.note({"a", "new", false}, 12);
-    copy.note({"b", {}, true}, 14);
-    const auto changes = copy.since(11);
+    EXPECT_FALSE(copy.since(at(0)));
+    copy.replaceAll(makeItems({"a", "b"}), at(10), haveSameState);
+    copy.note({"a", "new", false}, at(12));
+    copy.note({"b", {}, true}, at(14));
+    const auto changes = copy.since(at(11));
     ASSERT_TRUE(changes);
     EXPECT_EQ(changes->size(), 2U);
-    EXPECT_TRUE(copy.since(14)->empty());
+    EXPECT_TRUE(copy.since(at(14))->empty());
     EXPECT_EQ(copy.items().size(), 1U);
 }
 
 TEST(RegistryCopy, ReturnsNoChangesFromBeforeTheFirstRead)
 {
     RegistryCopy copy;
-    copy.replaceAll(makeItems({"a"}), 10, haveSameState);
-    EXPECT_FALSE(copy.since(9));
-    EXPECT_TRUE(copy.since(10));
+    copy.replaceAll(makeItems({"a"}), at(10), haveSameState);
+    EXPECT_FALSE(copy.since(at(9)));
+    EXPECT_TRUE(copy.since(at(10)));
 }
 
 TEST(RegistryCopy, FullReadDetectsRemovals)
 {
     RegistryCopy copy;
-    copy.replaceAll(makeItems({"a", "b"}), 10, haveSameState);
-    copy.replaceAll(makeItems({"a"}), 20, haveSameState);
-    const auto changes = copy.since(15);
+    copy.replaceAll(makeItems({"a", "b"}), at(10), haveSameState);
+    copy.replaceAll(makeItems({"a"}), at(20), haveSameState);
+    const auto changes = copy.since(at(15));
     ASSERT_TRUE(changes);
     ASSERT_EQ(changes->size(), 1U);
     EXPECT_TRUE(changes->front().isRemoved);
@@ -66,9 +71,9 @@
 TEST(RegistryCopy, FullReadReportsNoRenewals)
 {
     RegistryCopy copy;
-    copy.replaceAll({{"a", "ready#1", false}, {"b", "ready#1", false}}, 10, haveSameState);
-    copy.replaceAll({{"a", "ready#2", false}, {"b", "leaving#2", false}}, 20, haveSameState);
-    const auto changes = copy.since(10);
+    copy.replaceAll({{"a", "ready#1", false}, {"b", "ready#1", false}}, at(10), haveSameState);
+    copy.replaceAll({{"a", "ready#2", false}, {"b", "leaving#2", false}}, at(20), haveSameState);
+    const auto changes = copy.since(at(10));
     ASSERT_TRUE(changes);
     ASSERT_EQ(changes->size(), 1U);
     EXPECT_EQ(changes->front().key, "b");
@@ -77,11 +82,35 @@
 TEST(RegistryCopy, DropsHistoryBeyondTheLimit)
 {
     RegistryCopy copy;
-    copy.replaceAll({}, 1, haveSameState);
+    copy.replaceAll({}, at(1), haveSameState);
     for (std::size_t number = 0; number <= RegistryCopy::maximumTombstones; ++number)
-        copy.note({"k" + std::to_string(number), {}, true}, 2 + number);
-    EXPECT_FALSE(copy.since(2));
-    EXPECT_TRUE(copy.since(copy.revision()));
+        copy.note({"k" + std::to_string(number), {}, true}, at(2 + number));
+    EXPECT_FALSE(copy.since(at(2)));
+    EXPECT_TRUE(copy.since(copy.position()));
+}
+
+// Guards against changes that are never told because the registry gives their revisions out again.
+TEST(RegistryCopy, ContentOfANewEpochIsChangedThroughout)
+{
+    RegistryCopy copy;
+    copy.replaceAll(makeItems({"a", "b"}), at(20, 1), haveSameState);
+    copy.replaceAll(makeItems({"a"}), at(10, 2), haveSameState);
+    EXPECT_EQ(copy.position(), at(10, 2));
+    EXPECT_FALSE(copy.since(at(20, 1))) << "the whole content has to be read";
+    copy.note({"c", "value", false}, at(11, 2));
+    const auto changes = copy.since(at(10, 2));
+    ASSERT_TRUE(changes);
+    ASSERT_EQ(changes->size(), 1U);
+    EXPECT_EQ(changes->front().key, "c");
+}
+
+// Guards against "no changes" from a reader that has not noticed yet that the registry was
+// restored.
+TEST(RegistryCopy, KnowsNoHistoryOfALaterEpoch)
+{
+    RegistryCopy copy;
+    copy.replaceAll(makeItems({"a"}), at(20, 1), haveSameState);
+    EXPECT_FALSE(copy.since(at(10, 2)));
 }
 
 struct RegistryShareTest : ::testing::Test
@@ -191,6 +220,30 @@
         EXPECT_LE(fleet.instances[index]->log.count(EventId::RegistryReaderFailed), fleet.readers);
 }
 
+// Guards against instances that keep asking for changes after a position of the lost history.
+TEST_F(RegistryShareTest, ChangeAfterARestoreIsKnownInTimeByAllInstances)
+{
+    for (int round = 0; round < 4; ++round) {
+        fleet.registry.backUp();
+        for (int change = 0; change < 10 * round; ++change) {
+            fleet.registry.put("renewal", std::to_string(change));
+            fleet.scheduler.runFor(milliseconds(200));
+        }
+        fleet.registry.isDown = round % 2 == 1;
+        fleet.scheduler.runFor(milliseconds(700));
+        fleet.registry.isDown = false;
+        fleet.registry.restore();
+        // With these the new history may pass the old position before an instance asks again.
+        for (int change = 0; change < 7 * round; ++change)
+            fleet.registry.put("renewal", std::to_string(change));
+        fleet.scheduler.runFor(seconds(4));
+        const std::string value = "round " + std::to_string(round);
+        fleet.registry.put("server", value);
+        fleet.scheduler.runFor(changeDeadline);
+        EXPECT_TRUE(allInstancesKnow(value)) << round;
+    }
+}
+
 /// A registry and a peer that answer immediately with the configured content.
 struct SharedRegistryReaderTest : ::testing::Test, RegistryReader, PeerNetwork
 {
@@ -199,10 +252,10 @@
     {
         ++directCalls;
         RegistryAnswer answer;
-        answer.revision = registryRevision;
+        answer.position = at(registryRevision, registryEpoch);
         done(answer);
     }
-    void watch(const std::string &prefix, RegistryRevision, Duration, Callback done) override
+    void watch(const std::string &prefix, RegistryPosition, Duration, Callback done) override
     {
         list(prefix, {}, std::move(done));
     }
@@ -216,10 +269,11 @@
     void setHandler(PeerHandler *) override {}
     void beginStop() override {}
 
-    RegistryRevision listRevision()
+    std::uint64_t listRevision()
     {
-        RegistryRevision revision = 0;
-        reader.list({}, {}, [&](const RegistryAnswer &answer) { revision = answer.revision; });
+        std::uint64_t revision = 0;
+        reader.list({}, {},
+                    [&](const RegistryAnswer &answer) { revision = answer.position.revision; });
         return revision;
     }
 
@@ -227,7 +281,8 @@
     oleander::testing::VirtualTimer timer{scheduler};
     TestLog log;
     RegistryChanges news;
-    RegistryRevision registryRevision = 10;
+    std::uint64_t registryRevision = 10;
+    std::uint64_t registryEpoch = 0;
     std::size_t directCalls = 0;
     SharedRegistryReader reader{
         {InstanceId("self"), DataCentreId("here"), false}, *this, *this, timer, log};
@@ -237,7 +292,7 @@
 {
     EXPECT_EQ(listRevision(), 10U);
     reader.onReaderBeacon({InstanceId("reader"), DataCentreId("here"), {}, {}});
-    news.revision = 9;
+    news.position.revision = 9;
     EXPECT_EQ(listRevision(), 10U);
     EXPECT_EQ(directCalls, 2U);
 }
@@ -246,11 +301,28 @@
 {
     EXPECT_EQ(listRevision(), 10U);
     reader.onReaderBeacon({InstanceId("reader"), DataCentreId("here"), {}, {}});
-    news.revision = 11;
+    news.position.revision = 11;
     EXPECT_EQ(listRevision(), 11U);
     EXPECT_EQ(directCalls, 1U);
 }
 
+// Guards against content of the lost history from a reader that has not noticed the restore.
+TEST_F(SharedRegistryReaderTest, ContentOfAnEarlierEpochIsNotAccepted)
+{
+    registryEpoch = 2;
+    EXPECT_EQ(listRevision(), 10U);
+    reader.onReaderBeacon({InstanceId("reader"), DataCentreId("here"), {}, {}});
+    news.position = at(99, 1);
+    EXPECT_EQ(listRevision(), 10U);
+    scheduler.runFor(SharedRegistryReader::failedReaderPause);
+    reader.onReaderBeacon({InstanceId("reader"), DataCentreId("here"), {}, {}});
+    RegistryPosition watched;
+    reader.watch({}, at(10, 2), {},
+                 [&](const RegistryAnswer &answer) { watched = answer.position; });
+    EXPECT_EQ(watched, at(10, 2));
+    EXPECT_EQ(directCalls, 3U);
+}
+
 /// Instances hang, lose access to the registry and restart at random, and the registry becomes
 /// unavailable. An instance that could reach the registry all the time knows each change within
 /// the deadline, and no instance returns to an older value.
--- a/modules/gateway/tests/support/SimulatedFleet.cpp
+++ b/modules/gateway/tests/support/SimulatedFleet.cpp
@@ -73,24 +73,24 @@
     return result;
 }
 
-void SimulatedInstance::onItems(const std::vector<RegistryItem> &items, RegistryRevision revision)
+void SimulatedInstance::onItems(const std::vector<RegistryItem> &items, RegistryPosition position)
 {
     knownValues.clear();
     for (const RegistryItem &item : items)
         knownValues[item.key] = item.value;
-    copy.replaceAll(items, revision, std::equal_to<>());
+    copy.replaceAll(items, position, std::equal_to<>());
     share.onChanged();
 }
 
 void SimulatedInstance::onChanges(const std::vector<RegistryItem> &changes,
-                                  RegistryRevision revision)
+                                  RegistryPosition position)
 {
     for (const RegistryItem &item : changes) {
         if (item.isRemoved)
             knownValues.erase(item.key);
         else
             knownValues[item.key] = item.value;
-        copy.note(item, revision);
+        copy.note(item, position);
     }
     share.onChanged();
 }
@@ -103,13 +103,13 @@
     ++m_owner.directCalls;
 }
 
-void SimulatedInstance::DirectReader::watch(const std::string &, RegistryRevision revision,
+void SimulatedInstance::DirectReader::watch(const std::string &, RegistryPosition position,
                                             Duration wait, Callback done)
 {
     const TimePoint end = m_owner.m_fleet.scheduler.now() + wait;
     poll(
-        [this, revision, end] {
-            RegistryAnswer answer = m_owner.m_fleet.registry.changesSince(revision);
+        [this, position, end] {
+            RegistryAnswer answer = m_owner.m_fleet.registry.changesSince(position);
             const bool hasWaited = m_owner.m_fleet.scheduler.now() >= end;
             const bool hasNoChanges = answer.error == RegistryError::None && answer.items.empty();
             return hasNoChanges && !hasWaited ? std::nullopt : std::optional(answer);
--- a/modules/gateway/tests/support/SimulatedFleet.h
+++ b/modules/gateway/tests/support/SimulatedFleet.h
@@ -20,36 +20,49 @@
 public:
     void put(const std::string &key, const std::string &value)
     {
-        m_items[key] = {{key, value, false}, ++m_revision};
+        m_content.items[key] = {{key, value, false}, ++m_content.revision};
+    }
+    void remove(const std::string &key)
+    {
+        m_content.items[key] = {{key, {}, true}, ++m_content.revision};
     }
-    void remove(const std::string &key) { m_items[key] = {{key, {}, true}, ++m_revision}; }
 
     [[nodiscard]] RegistryAnswer list() const
     {
         RegistryAnswer answer;
-        answer.revision = m_revision;
-        for (const auto &[key, stored] : m_items) {
+        answer.position = position();
+        for (const auto &[key, stored] : m_content.items) {
             if (!stored.item.isRemoved)
                 answer.items.push_back(stored.item);
         }
         return answer;
     }
-    /// Changes after `revision`.
-    [[nodiscard]] RegistryAnswer changesSince(RegistryRevision revision) const
+    /// Changes after the revision of `after`, whatever its epoch.
+    [[nodiscard]] RegistryAnswer changesSince(RegistryPosition after) const
     {
         RegistryAnswer answer;
-        answer.revision = m_revision;
-        if (revision < m_oldestRevision)
+        answer.position = position();
+        if (after.revision < m_oldestRevision || after.revision > m_content.revision)
             answer.error = RegistryError::HistoryGone;
-        for (const auto &[key, stored] : m_items) {
-            if (stored.changeRevision > revision)
+        for (const auto &[key, stored] : m_content.items) {
+            if (stored.changeRevision > after.revision)
                 answer.items.push_back(stored.item);
         }
         return answer;
     }
 
     /// Drops the history of changes up to the current revision.
-    void compact() { m_oldestRevision = m_revision; }
+    void compact() { m_oldestRevision = m_content.revision; }
+    /// Keeps a copy of the content.
+    void backUp() { m_copy = m_content; }
+    /// Comes back from the copy: what has changed since then is lost.
+    void restore()
+    {
+        m_content = m_copy;
+        m_oldestRevision = std::min(m_oldestRevision, m_content.revision);
+        ++m_epoch;
+    }
+    [[nodiscard]] RegistryPosition position() const { return {m_epoch, m_content.revision}; }
 
     /// No instance gets an answer.
     bool isDown = false;
@@ -60,12 +73,18 @@
     struct StoredItem
     {
         RegistryItem item;
-        RegistryRevision changeRevision = 0;
+        std::uint64_t changeRevision = 0;
+    };
+    struct Content
+    {
+        std::map<std::string, StoredItem> items;
+        std::uint64_t revision = 0;
     };
-    std::map<std::string, StoredItem> m_items;
-    RegistryRevision m_revision = 0;
+    Content m_content;
+    Content m_copy;
+    std::uint64_t m_epoch = 1;
     /// Changes before this revision are no longer known.
-    RegistryRevision m_oldestRevision = 0;
+    std::uint64_t m_oldestRevision = 0;
 };
 
 class SimulatedInstance;
@@ -96,8 +115,8 @@
     SimulatedInstance(SimulatedFleet &fleet, std::size_t index);
 
     // RegistryListener
-    void onItems(const std::vector<RegistryItem> &items, RegistryRevision revision) override;
-    void onChanges(const std::vector<RegistryItem> &changes, RegistryRevision revision) override;
+    void onItems(const std::vector<RegistryItem> &items, RegistryPosition position) override;
+    void onChanges(const std::vector<RegistryItem> &changes, RegistryPosition position) override;
     void onReconnected(Duration) override {}
 
     [[nodiscard]] Instance description() const;
@@ -121,7 +140,7 @@
         {
         }
         void list(const std::string &, const std::string &, Callback done) override;
-        void watch(const std::string &, RegistryRevision revision, Duration wait,
+        void watch(const std::string &, RegistryPosition position, Duration wait,
                    Callback done) override;
 
     private:
--- a/modules/ports/include/oleander/ports/PeerMessage.h
+++ b/modules/ports/include/oleander/ports/PeerMessage.h
@@ -4,6 +4,7 @@
 #include <oleander/core/Query.h>
 #include <oleander/core/Section.h>
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -75,11 +76,23 @@
     bool operator==(const ViewExchange &) const = default;
 };
 
+/// A point in the history of the platform's registry. Points are ordered by the epoch first.
+struct RegistryPosition
+{
+    /// Rises each time the registry comes back from an older copy of its content. Revisions go back
+    /// then, and are given out again.
+    std::uint64_t epoch = 0;
+    /// Rises with each change.
+    std::uint64_t revision = 0;
+
+    auto operator<=>(const RegistryPosition &) const = default;
+};
+
 /// Requests changes of the platform's registry from an instance that reads it.
 struct RegistryChangesRequest
 {
-    /// Requests the changes after this revision; if empty, the whole content.
-    std::optional<std::uint64_t> after;
+    /// Requests the changes after this position; if empty, the whole content.
+    std::optional<RegistryPosition> after;
     /// Longest time to wait for a change before the reply. Ignored when the whole content is
     /// requested.
     Duration wait{};
@@ -100,12 +113,12 @@
 /// The reply to a RegistryChangesRequest.
 struct RegistryChanges
 {
-    /// False when the changes after the requested revision are not known; `items` is then empty.
+    /// False when the changes after the requested position are not known; `items` is then empty.
     bool isKnown = true;
     std::vector<RegistryItem> items;
-    /// The revision up to which `items` is complete. It may be lower than the requested one when
+    /// The position up to which `items` is complete. It may be lower than the requested one when
     /// the requesting instance has read the registry more recently than the replying one.
-    std::uint64_t revision = 0;
+    RegistryPosition position;
     /// Time since the registry last answered the replying instance.
     Duration age{};
 
