Losses under a crashing request are told to neighbours, too

What callers saw: while all seeds are out of reach, other requests lost with servers that a returning request ends, at one instance after another.

Cause: an instance told of losses to the seeds only, which told all others. Nothing reached another instance without them.

FleetBeaconTest.NeighboursTellOfCrashingRequestsWithoutTheSeed shows it over datagrams.

Why it works: seeds name each caller its neighbours, chosen by gossipNeighbours, which the product's own exchange between instances uses: a ring in each data centre and a random graph over it. An instance tells its neighbours, and these pass on what is new to them. Ruled out: calling instances other than seeds periodically, which costs messages at all times.

--- a/modules/adapters/include/oleander/adapters/gateway/FleetBeacon.h
+++ b/modules/adapters/include/oleander/adapters/gateway/FleetBeacon.h
@@ -37,6 +37,8 @@
     bool isLeaving = false;
     /// The coordinators that it has elected. Only stated by seeds, and only in replies.
     std::vector<Instance> coordinators;
+    /// The instances that the receiver tells news to. Only stated by seeds, and only in replies.
+    std::vector<Instance> neighbours;
     /// What it knows of requests that crash servers, the newest first.
     std::vector<CrashReport> crashes;
 };
@@ -46,16 +48,17 @@
 ///
 /// Datagrams are JSON: `{"instance": NAME, "dataCentre": NAME, "heardOf": COUNT, "peerPort":
 /// PORT, "isReader": BOOL, "isReply": BOOL, "strength": CORES, "isLeaving": BOOL, "coordinators":
-/// [[NAME, DATA CENTRE, ADDRESS]], "crashes": [[FINGERPRINT, SERVER, THOUSANDTHS, AGE IN MS]]}`;
-/// the last four may be missing, and a survived execution has no server. One that is lost is made
-/// up by the next.
+/// [[NAME, DATA CENTRE, ADDRESS]], "neighbours": [[NAME, DATA CENTRE, ADDRESS]], "crashes":
+/// [[FINGERPRINT, SERVER, THOUSANDTHS, AGE IN MS]]}`; the last five may be missing, and a survived
+/// execution has no server. One that is lost is made up by the next.
 class FleetBeacon
 {
 public:
     /// Another instance, at this IP number, was heard of.
     using Listener = std::function<void(const BeaconNews &news, const std::string &number)>;
-    /// Gives what this instance says of itself now.
-    using Source = std::function<BeaconNews()>;
+    /// Gives what this instance says of itself now, in a reply to `caller` or, if that is empty, to
+    /// any instance.
+    using Source = std::function<BeaconNews(const InstanceId &caller)>;
 
     /// The context must outlive the beacon.
     FleetBeacon(boost::asio::io_context &context, TimerService &timer, Source source,
@@ -71,8 +74,8 @@
 
     /// Calls the seeds now, besides the periodic calls.
     void announce();
-    /// Tells the seeds and all instances that were heard of lately. For news that can't wait until
-    /// they call.
+    /// Tells the seeds, the neighbours and all instances that were heard of lately. For news that
+    /// can't wait until they call. Neighbours that pass them on make up for seeds out of reach.
     void announceToAll();
 
 private:
--- a/modules/adapters/src/gateway/FleetBeacon.cpp
+++ b/modules/adapters/src/gateway/FleetBeacon.cpp
@@ -25,7 +25,8 @@
 constexpr Duration laterPeriod = seconds(3);
 constexpr int quickCalls = 6;
 constexpr std::size_t largestDatagram = 4096;
-constexpr std::size_t maximumCoordinators = 64;
+/// Of a list in a message.
+constexpr std::size_t maximumInstances = 64;
 constexpr std::size_t maximumCrashReports = 32;
 /// Instances that have not called for this time are gone.
 constexpr Duration callerLifetime = seconds(10);
@@ -36,6 +37,14 @@
     bool isReply = false;
 };
 
+json encodeInstances(const std::vector<Instance> &instances)
+{
+    json list = json::array();
+    for (const Instance &instance : instances)
+        list.push_back({instance.id.text(), instance.dataCentre.text(), instance.peerAddress});
+    return list;
+}
+
 std::string encode(const Message &message)
 {
     const BeaconNews &news = message.news;
@@ -45,13 +54,10 @@
                   {"strength", news.strength}};
     if (news.isLeaving)
         document["isLeaving"] = true;
-    if (message.isReply && !news.coordinators.empty()) {
-        json list = json::array();
-        for (const Instance &coordinator : news.coordinators)
-            list.push_back(
-                {coordinator.id.text(), coordinator.dataCentre.text(), coordinator.peerAddress});
-        document["coordinators"] = std::move(list);
-    }
+    if (message.isReply && !news.coordinators.empty())
+        document["coordinators"] = encodeInstances(news.coordinators);
+    if (message.isReply && !news.neighbours.empty())
+        document["neighbours"] = encodeInstances(news.neighbours);
     // The newest come first; those that do not fit are sent once these have expired.
     std::size_t bytes = document.dump().size() + std::string_view(R"(,"crashes":[])").size();
     json list = json::array();
@@ -87,19 +93,19 @@
     return crashes;
 }
 
-std::vector<Instance> decodeCoordinators(const json &list)
+std::vector<Instance> decodeInstances(const json &list)
 {
-    std::vector<Instance> coordinators;
+    std::vector<Instance> instances;
     for (const json &entry : list) {
-        if (coordinators.size() == maximumCoordinators)
+        if (instances.size() == maximumInstances)
             break;
-        Instance coordinator;
-        coordinator.id = InstanceId(entry.at(0).get<std::string>());
-        coordinator.dataCentre = DataCentreId(entry.at(1).get<std::string>());
-        coordinator.peerAddress = entry.at(2).get<std::string>();
-        coordinators.push_back(std::move(coordinator));
+        Instance instance;
+        instance.id = InstanceId(entry.at(0).get<std::string>());
+        instance.dataCentre = DataCentreId(entry.at(1).get<std::string>());
+        instance.peerAddress = entry.at(2).get<std::string>();
+        instances.push_back(std::move(instance));
     }
-    return coordinators;
+    return instances;
 }
 
 std::optional<Message> decode(std::string_view text)
@@ -120,7 +126,10 @@
         message.news.isLeaving = document.value("isLeaving", false);
         const auto coordinators = document.find("coordinators");
         if (coordinators != document.end())
-            message.news.coordinators = decodeCoordinators(*coordinators);
+            message.news.coordinators = decodeInstances(*coordinators);
+        const auto neighbours = document.find("neighbours");
+        if (neighbours != document.end())
+            message.news.neighbours = decodeInstances(*neighbours);
         const auto crashes = document.find("crashes");
         if (crashes != document.end())
             message.news.crashes = decodeCrashes(*crashes);
@@ -182,7 +191,7 @@
     void announce()
     {
         for (const udp::endpoint &seed : m_seeds)
-            send({m_source(), false}, seed);
+            send({m_source({}), false}, seed);
     }
 
     void announceToAll()
@@ -191,9 +200,13 @@
         const TimePoint now = m_timer.now();
         std::erase_if(m_callers,
                       [now](const auto &caller) { return now - caller.second > callerLifetime; });
-        const Message message{m_source(), true};
+        const Message message{m_source({}), true};
         for (const auto &[endpoint, calledAt] : m_callers)
             send(message, endpoint);
+        for (const udp::endpoint &neighbour : m_neighbours) {
+            if (!m_callers.contains(neighbour))
+                send(message, neighbour);
+        }
     }
 
 private:
@@ -231,12 +244,27 @@
             m_listener(message->news, m_sender.address().to_string());
             if (!message->isReply) {
                 m_callers[m_sender] = m_timer.now();
-                send({m_source(), true}, m_sender);
+                send({m_source(message->news.instance), true}, m_sender);
             }
+            if (!message->news.neighbours.empty())
+                setNeighbours(message->news.neighbours);
         }
         receive();
     }
 
+    void setNeighbours(const std::vector<Instance> &neighbours)
+    {
+        m_neighbours.clear();
+        for (const Instance &neighbour : neighbours) {
+            const auto address = parseAddress(neighbour.peerAddress);
+            error_code error;
+            const auto number = asio::ip::make_address(address ? address->number : "", error);
+            // The address is of another release, or of a stranger.
+            if (!error)
+                m_neighbours.emplace_back(number, m_sender.port());
+        }
+    }
+
     TimerService &m_timer;
     Source m_source;
     Listener m_listener;
@@ -244,6 +272,8 @@
     udp::endpoint m_sender;
     std::array<char, largestDatagram> m_buffer{};
     std::vector<udp::endpoint> m_seeds;
+    /// As last told by a seed.
+    std::vector<udp::endpoint> m_neighbours;
     /// Instances that have called, and when they last did.
     std::map<udp::endpoint, TimePoint> m_callers;
     int m_calls = 0;
--- a/modules/adapters/tests/gateway/FleetBeaconTest.cpp
+++ b/modules/adapters/tests/gateway/FleetBeaconTest.cpp
@@ -19,7 +19,7 @@
         : size(InstanceId(name))
         , beacon(
               context, timer,
-              [this, name] {
+              [this, name](const InstanceId &) {
                   BeaconNews news;
                   news.instance = InstanceId(name);
                   news.dataCentre = DataCentreId("here");
@@ -29,6 +29,7 @@
                   news.strength = 0.5;
                   if (news.isReader)
                       news.coordinators = {coordinator()};
+                  news.neighbours = neighbours;
                   news.crashes = crashes;
                   return news;
               },
@@ -62,6 +63,8 @@
     std::string reader;
     std::map<std::string, double> strengths;
     std::vector<oleander::Instance> coordinators;
+    /// What a seed tells all others.
+    std::vector<oleander::Instance> neighbours;
     std::vector<CrashReport> crashes;
 };
 
@@ -107,6 +110,24 @@
         EXPECT_EQ(instance->crashes, std::vector{report}) << number;
 }
 
+// Guards against losses that are told to nobody while the seeds are out of reach.
+TEST_F(FleetBeaconTest, NeighboursTellOfCrashingRequestsWithoutTheSeed)
+{
+    for (int number = 1; number <= 4; ++number)
+        start(number);
+    oleander::Instance neighbour = Instance::coordinator();
+    neighbour.peerAddress = "127.0.0.4:7";
+    instances[1]->neighbours = {neighbour};
+    context.run_for(std::chrono::seconds(4));
+    instances.erase(1);
+    const CrashReport report{{Fingerprint(~0ULL), ServerId("s-1"), 500}, milliseconds(7)};
+    instances[3]->crashes = {report};
+    instances[3]->beacon.announceToAll();
+    context.run_for(std::chrono::milliseconds(200));
+    EXPECT_EQ(instances[4]->crashes, std::vector{report});
+    EXPECT_TRUE(instances[2]->crashes.empty()) << "no neighbour";
+}
+
 // Guards against a message beyond a datagram, of which nothing at all would be read.
 TEST_F(FleetBeaconTest, CrashReportsThatDoNotFitAreLeftOut)
 {
--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -134,7 +134,7 @@
                        m_timer, m_log, m_policy, [this] { return m_fleetSize.estimate(); })
         , m_gatherServer(m_gateway, m_timer, m_policy)
         , m_beacon(
-              m_context, m_timer, [this] { return beaconNews(); },
+              m_context, m_timer, [this](const InstanceId &caller) { return beaconNews(caller); },
               [this](const BeaconNews &news, const std::string &number) { onBeacon(news, number); })
         , m_pages(m_context)
         , m_metrics(m_context)
@@ -240,7 +240,7 @@
         return described;
     }
 
-    BeaconNews beaconNews()
+    BeaconNews beaconNews(const InstanceId &caller)
     {
         BeaconNews news;
         news.instance = m_settings.instance;
@@ -251,8 +251,10 @@
         news.strength = m_settings.processorShare;
         news.isLeaving = m_isStopping;
         news.crashes = m_fleet.crashGuard().reports();
-        if (news.isReader)
+        if (news.isReader) {
             news.coordinators = m_members.coordinators(m_timer.now());
+            news.neighbours = m_members.neighboursOf(caller);
+        }
         return news;
     }
 
--- a/modules/gateway/include/oleander/gateway/FleetMembers.h
+++ b/modules/gateway/include/oleander/gateway/FleetMembers.h
@@ -35,6 +35,9 @@
     void onBeacon(const Instance &instance, double strength, TimePoint now);
     /// The elected coordinators. Instances not heard of for a few beacons are left out.
     [[nodiscard]] const std::vector<Instance> &coordinators(TimePoint now);
+    /// The instances that `member` tells news to without the seeds, as chosen by gossipNeighbours()
+    /// among the members of the last election. Empty for an instance that is no member.
+    [[nodiscard]] const std::vector<Instance> &neighboursOf(const InstanceId &member);
 
 private:
     struct Member
@@ -44,6 +47,9 @@
     };
 
     std::unordered_map<InstanceId, Member> m_members;
+    InstanceList m_list;
+    /// Computed on demand, until the list changes.
+    std::unordered_map<InstanceId, std::vector<Instance>> m_neighbours;
     std::vector<Instance> m_elected;
     TimePoint m_electedAt{};
     bool m_isChanged = true;
--- a/modules/gateway/src/FleetMembers.cpp
+++ b/modules/gateway/src/FleetMembers.cpp
@@ -1,4 +1,5 @@
 #include <oleander/decisions/control/CoordinatorChoice.h>
+#include <oleander/decisions/control/PeerChoice.h>
 #include <oleander/gateway/FleetMembers.h>
 
 #include <algorithm>
@@ -69,9 +70,23 @@
     for (const auto &[id, member] : m_members)
         candidates.push_back(member.candidate);
     m_elected = electCoordinators(candidates);
+    m_list.instances.clear();
+    for (const CoordinatorCandidate &candidate : candidates)
+        m_list.instances.push_back(candidate.instance);
+    std::ranges::sort(m_list.instances, {}, &Instance::id);
+    m_neighbours.clear();
     m_electedAt = now;
     m_isChanged = false;
     return m_elected;
 }
 
+const std::vector<Instance> &FleetMembers::neighboursOf(const InstanceId &member)
+{
+    const auto [entry, isNew] = m_neighbours.try_emplace(member);
+    const auto found = std::ranges::find(m_list.instances, member, &Instance::id);
+    if (isNew && found != m_list.instances.end())
+        entry->second = gossipNeighbours(m_list, {}, *found, {});
+    return entry->second;
+}
+
 } // namespace oleander::gateway
--- a/modules/gateway/tests/CrashingRequestFleetTest.cpp
+++ b/modules/gateway/tests/CrashingRequestFleetTest.cpp
@@ -1,5 +1,7 @@
 #include "support/TestGateway.h"
 
+#include <oleander/gateway/FleetMembers.h>
+
 #include <gtest/gtest.h>
 
 using namespace oleander;
@@ -10,6 +12,7 @@
 
 constexpr int instanceCount = 20;
 constexpr int seedCount = 3;
+constexpr int dataCentreCount = 3;
 constexpr int serverCount = 10;
 /// Servers that may be started in a test.
 constexpr int maximumServers = 200;
@@ -46,8 +49,12 @@
         servers.onCrashed = [this](const Address &address) { replaceServer(address); };
         for (int server = 0; server < serverCount; ++server)
             startServer();
-        for (int number = 0; number < instanceCount; ++number)
+        for (int number = 0; number < instanceCount; ++number) {
             instances.push_back(startInstance(number));
+            const DataCentreId dataCentre("dc-" + std::to_string(number % dataCentreCount));
+            members.onBeacon({idOf(number), dataCentre, {}, {}}, 1, scheduler.now());
+        }
+        (void)members.coordinators(scheduler.now() + seconds(1));
         beacon();
         scheduler.runFor(seconds(2));
     }
@@ -107,13 +114,17 @@
         });
     }
 
-    /// To the seeds; a seed tells all others, too.
+    /// To the seeds and the neighbours; a seed tells all others, too.
     void announce(int from)
     {
         for (int to = 0; to < (from < seedCount ? instanceCount : seedCount); ++to)
             deliver(from, to);
+        for (const Instance &neighbour : members.neighboursOf(idOf(from)))
+            deliver(from, std::stoi(neighbour.id.text()));
     }
 
+    [[nodiscard]] static InstanceId idOf(int number) { return InstanceId(std::to_string(number)); }
+
     void beacon()
     {
         for (int number = 0; number < instanceCount; ++number) {
@@ -177,6 +188,8 @@
     int lateRetries = 0;
     /// Instances that exchange no messages with others.
     std::set<int> isCut;
+    /// As all seeds know them.
+    FleetMembers members;
     std::vector<TimePoint> lossTimes;
     std::mt19937_64 random{5};
     VirtualScheduler scheduler;
@@ -249,4 +262,15 @@
     EXPECT_EQ(received->answer->status, 200);
 }
 
+// Guards against losses that are told to nobody while all seeds are out of reach.
+TEST_F(CrashingRequestFleetTest, RequestIsHeldBackWithoutTheSeeds)
+{
+    isCut = {0, 1, 2};
+    startLoad();
+    repeatCrashing([] { return "/one/crash"; });
+    // The seeds learn for themselves.
+    EXPECT_LE(lossTimes.size(), permittedLosses + 2 * isCut.size());
+    EXPECT_LE(lateRetries, permittedRetries);
+}
+
 } // namespace
