--- a/modules/gateway/src/RegistryCopy.cpp
+++ b/modules/gateway/src/RegistryCopy.cpp
@@ -68,10 +68,10 @@
     if (!m_isComplete || position < m_historyStart || position.epoch != m_position.epoch)
         return std::nullopt;
     std::vector<RegistryItem> result;
-    if (position >= m_position)
+    if (!(position < m_position))
         return result;
     for (const auto &[key, entry] : m_entries) {
-        if (entry.changedAt > position)
+        if (position < entry.changedAt)
             result.push_back(entry.item);
     }
     return result;
--- a/modules/gateway/src/RegistryRelay.cpp
+++ b/modules/gateway/src/RegistryRelay.cpp
@@ -48,7 +48,7 @@
     std::list<PendingRequest> due;
     for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
         const auto next = std::next(entry);
-        if (isSourceStale || now >= entry->deadline || m_copy.position() > entry->after)
+        if (isSourceStale || now >= entry->deadline || entry->after < m_copy.position())
             due.splice(due.end(), m_waiting, entry);
         entry = next;
     }
--- a/modules/ports/include/oleander/ports/PeerMessage.h
+++ b/modules/ports/include/oleander/ports/PeerMessage.h
@@ -4,10 +4,10 @@
 #include <oleander/core/Query.h>
 #include <oleander/core/Section.h>
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -85,7 +85,11 @@
     /// Rises with each change.
     std::uint64_t revision = 0;
 
-    auto operator<=>(const RegistryPosition &) const = default;
+    bool operator==(const RegistryPosition &) const = default;
+    bool operator<(const RegistryPosition &other) const
+    {
+        return std::tie(epoch, revision) < std::tie(other.epoch, other.revision);
+    }
 };
 
 /// Requests changes of the platform's registry from an instance that reads it.
