Neighbours are taken from seeds only, and kept for members only

From reading the change again: a datagram of a stranger could have replaced an instance's neighbours, and its name would have been kept by the seeds until the list of members changed.

--- a/modules/adapters/src/gateway/FleetBeacon.cpp
+++ b/modules/adapters/src/gateway/FleetBeacon.cpp
@@ -246,7 +246,8 @@
                 m_callers[m_sender] = m_timer.now();
                 send({m_source(message->news.instance), true}, m_sender);
             }
-            if (!message->news.neighbours.empty())
+            const bool isFromSeed = std::ranges::find(m_seeds, m_sender) != m_seeds.end();
+            if (isFromSeed && !message->news.neighbours.empty())
                 setNeighbours(message->news.neighbours);
         }
         receive();
@@ -259,7 +260,7 @@
             const auto address = parseAddress(neighbour.peerAddress);
             error_code error;
             const auto number = asio::ip::make_address(address ? address->number : "", error);
-            // The address is of another release, or of a stranger.
+            // Other releases may state addresses in another form.
             if (!error)
                 m_neighbours.emplace_back(number, m_sender.port());
         }
--- a/modules/gateway/include/oleander/gateway/CrashGuard.h
+++ b/modules/gateway/include/oleander/gateway/CrashGuard.h
@@ -49,7 +49,8 @@
     }
 };
 
-/// Whether a request may be sent to a server, or to one server more.
+/// Whether a request may be sent to a server, or to one server more. The stricter decisions come
+/// later.
 enum class SendDecision {
     Send,
     /// To a server that executes nothing else, if there is one.
--- a/modules/gateway/src/FleetMembers.cpp
+++ b/modules/gateway/src/FleetMembers.cpp
@@ -82,11 +82,14 @@
 
 const std::vector<Instance> &FleetMembers::neighboursOf(const InstanceId &member)
 {
-    const auto [entry, isNew] = m_neighbours.try_emplace(member);
+    static const std::vector<Instance> none;
+    const auto known = m_neighbours.find(member);
+    if (known != m_neighbours.end())
+        return known->second;
     const auto found = std::ranges::find(m_list.instances, member, &Instance::id);
-    if (isNew && found != m_list.instances.end())
-        entry->second = gossipNeighbours(m_list, {}, *found, {});
-    return entry->second;
+    if (found == m_list.instances.end())
+        return none;
+    return m_neighbours[member] = gossipNeighbours(m_list, {}, *found, {});
 }
 
 } // namespace oleander::gateway
