Refusals and lost connections name the resource, too

From reading the change again. A request can be refused for what other queries of its resource have done. CrashRefusal and ServerConnectionLost named the fingerprint of the request only, so that the lines that caused the refusal, which have the fingerprint of the resource, could not be found from it. No decision changes.

--- a/modules/gateway/include/oleander/gateway/CrashGuard.h
+++ b/modules/gateway/include/oleander/gateway/CrashGuard.h
@@ -39,6 +39,12 @@
     /// Called once when the evidence changes.
     std::vector<std::function<void()>> waiting;
 
+    /// The fingerprint of the resource; that of the request if it has no query.
+    [[nodiscard]] Fingerprint resourceFingerprint() const
+    {
+        return resource ? resource->fingerprint : fingerprint;
+    }
+
     /// Calls `apply` with this trial and that of the resource.
     template <typename Function>
     void forEachLevel(Function apply)
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -378,6 +378,7 @@
         m_context.log.record(EventId::ServerConnectionLost, attempt->request->id,
                              {{"server", m_registration.id.text()},
                               {"fingerprint", attempt->trial->fingerprint.value()},
+                              {"resource", attempt->trial->resourceFingerprint().value()},
                               {"isClosedByServer", end == LinkEnd::ClosedByServer}});
         if (end == LinkEnd::ClosedByServer)
             checkEnded(attempt);
--- a/modules/gateway/src/CallBase.cpp
+++ b/modules/gateway/src/CallBase.cpp
@@ -137,7 +137,8 @@
 {
     if (m_gateway.m_fleet.crashGuard().decide(*m_trial) != SendDecision::Refuse)
         return false;
-    record(EventId::CrashRefusal, {{"fingerprint", m_trial->fingerprint.value()}});
+    record(EventId::CrashRefusal, {{"fingerprint", m_trial->fingerprint.value()},
+                                   {"resource", m_trial->resourceFingerprint().value()}});
     refuseLater("servers were lost while they executed the same request before");
     return true;
 }
