One rule for positions of two histories

From reading the change again. The follower, the copy, the view and the reader of other instances each compared epochs in a way of their own, and two of them decided separately what becomes of a held position. isSameHistory() and advanced() say it once.

The equality of registrations listed the members that count; a new one would have been left out silently. A structured binding now fails to compile.

--- a/modules/daemon/src/RegistryView.cpp
+++ b/modules/daemon/src/RegistryView.cpp
@@ -21,7 +21,7 @@
 void RegistryView::onItems(const std::vector<RegistryItem> &items,
                            gateway::RegistryPosition position)
 {
-    if (m_copy.isComplete() && position.epoch != m_copy.position().epoch)
+    if (m_copy.isComplete() && !gateway::isSameHistory(position, m_copy.position()))
         onRestored();
     m_heldBack.clear();
     std::vector<gateway::ServerRegistration> registrations;
--- a/modules/gateway/include/oleander/gateway/Registry.h
+++ b/modules/gateway/include/oleander/gateway/Registry.h
@@ -2,6 +2,7 @@
 
 #include <oleander/ports/PeerMessage.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -12,6 +13,21 @@
 using oleander::RegistryItem;
 using oleander::RegistryPosition;
 
+/// Whether the changes between two positions can be told. False if the registry was restored from a
+/// copy between them.
+[[nodiscard]] inline bool isSameHistory(const RegistryPosition &left, const RegistryPosition &right)
+{
+    return left.epoch == right.epoch;
+}
+
+/// The position of content at `held` after an answer at `given`: the later one, and `given` if it
+/// belongs to another history.
+[[nodiscard]] inline RegistryPosition advanced(const RegistryPosition &held,
+                                               const RegistryPosition &given)
+{
+    return isSameHistory(held, given) ? std::max(held, given) : given;
+}
+
 enum class RegistryError {
     None,
     /// No answer, or the connection failed.
--- a/modules/gateway/src/RegistryCopy.cpp
+++ b/modules/gateway/src/RegistryCopy.cpp
@@ -8,7 +8,7 @@
 void RegistryCopy::replaceAll(const std::vector<RegistryItem> &items, RegistryPosition position,
                               const Equivalence &isEquivalent)
 {
-    const bool isNewHistory = !m_isComplete || position.epoch != m_position.epoch;
+    const bool isNewHistory = !m_isComplete || !isSameHistory(position, m_position);
     std::unordered_set<std::string> present;
     for (const RegistryItem &item : items) {
         present.insert(item.key);
@@ -24,12 +24,10 @@
     }
     for (const std::string &key : absent)
         note({key, {}, true}, position);
-    if (isNewHistory) {
+    if (isNewHistory)
         m_historyStart = position;
-        m_position = position;
-    }
     m_isComplete = true;
-    m_position = std::max(m_position, position);
+    m_position = advanced(m_position, position);
 }
 
 void RegistryCopy::note(const RegistryItem &item, RegistryPosition position)
@@ -38,7 +36,7 @@
     m_tombstones -= entry.item.isRemoved ? 1 : 0;
     entry = {item, position};
     m_tombstones += item.isRemoved ? 1 : 0;
-    m_position = std::max(m_position, position);
+    m_position = advanced(m_position, position);
     if (m_tombstones <= maximumTombstones)
         return;
     std::erase_if(m_entries, [](const auto &held) { return held.second.item.isRemoved; });
@@ -65,7 +63,7 @@
 
 std::optional<std::vector<RegistryItem>> RegistryCopy::since(RegistryPosition position) const
 {
-    if (!m_isComplete || position < m_historyStart || position.epoch != m_position.epoch)
+    if (!m_isComplete || position < m_historyStart || !isSameHistory(position, m_position))
         return std::nullopt;
     std::vector<RegistryItem> result;
     if (!(position < m_position))
--- a/modules/gateway/src/RegistryFollower.cpp
+++ b/modules/gateway/src/RegistryFollower.cpp
@@ -81,7 +81,7 @@
     onSuccess(answer);
     if (!m_firstPagePosition)
         m_firstPagePosition = answer.position;
-    if (answer.position.epoch != m_firstPagePosition->epoch) {
+    if (!isSameHistory(answer.position, *m_firstPagePosition)) {
         restart();
         return;
     }
@@ -122,12 +122,11 @@
         return;
     }
     onSuccess(answer);
-    if (answer.position.epoch != m_position.epoch) {
-        // The changes after the held position belong to another history.
+    if (!isSameHistory(answer.position, m_position)) {
         restart();
         return;
     }
-    m_position = std::max(m_position, answer.position);
+    m_position = advanced(m_position, answer.position);
     if (!answer.items.empty())
         m_listener.onChanges(answer.items, m_position);
     updateContentTime(answer);
@@ -142,7 +141,7 @@
 
 void RegistryFollower::noteRestored(const RegistryPosition &position) const
 {
-    if (!m_completeAsOf || position.epoch == m_position.epoch)
+    if (!m_completeAsOf || isSameHistory(position, m_position))
         return;
     m_log.record(EventId::RegistryRestored, {},
                  {{"prefix", m_prefix},
--- a/modules/gateway/src/ServerDirectory.cpp
+++ b/modules/gateway/src/ServerDirectory.cpp
@@ -6,14 +6,23 @@
 
 namespace oleander::gateway {
 
+namespace {
+
+/// All members but the sequence. The structured binding fails to compile if a member is added to
+/// the registration but not listed here.
+auto stateOf(const ServerRegistration &registration)
+{
+    const auto &[id, service, address, dataCentre, slots, isDraining, warmUpLeft, startedAt,
+                 sequence] = registration;
+    (void)sequence;
+    return std::tie(id, service, address, dataCentre, slots, isDraining, warmUpLeft, startedAt);
+}
+
+} // namespace
+
 bool ServerRegistration::operator==(const ServerRegistration &other) const
 {
-    const auto tied = [](const ServerRegistration &registration) {
-        return std::tie(registration.id, registration.service, registration.address,
-                        registration.dataCentre, registration.slots, registration.isDraining,
-                        registration.warmUpLeft, registration.startedAt);
-    };
-    return tied(*this) == tied(other);
+    return stateOf(*this) == stateOf(other);
 }
 
 ServerDirectory::ServerDirectory(Listener listener)
--- a/modules/gateway/src/SharedRegistryReader.cpp
+++ b/modules/gateway/src/SharedRegistryReader.cpp
@@ -210,10 +210,8 @@
         m_log.record(EventId::RegistrySourceChanged, {},
                      {{"source", source}, {"ageMs", inMilliseconds(answer.age)}});
     }
-    if (isSuccess && answer.position.epoch != m_deliveredPosition.epoch)
-        m_deliveredPosition = answer.position;
-    else if (isSuccess)
-        m_deliveredPosition = std::max(m_deliveredPosition, answer.position);
+    if (isSuccess)
+        m_deliveredPosition = advanced(m_deliveredPosition, answer.position);
     done(std::move(answer));
 }
 
