Wording from reading the change again: resources, neighbours, entries held back, late retries

Names and comments only: the trial of a request and of its resource instead of levels, what a resource is said once, gossip neighbours by their usual term, late retries instead of counted sendings, instances out of reach instead of cut. No check changes.

--- a/modules/adapters/include/oleander/adapters/gateway/FleetBeacon.h
+++ b/modules/adapters/include/oleander/adapters/gateway/FleetBeacon.h
@@ -37,7 +37,7 @@
     bool isLeaving = false;
     /// The coordinators that it has elected. Only stated by seeds, and only in replies.
     std::vector<Instance> coordinators;
-    /// The instances that the receiver tells news to. Only stated by seeds, and only in replies.
+    /// The gossip neighbours of the receiver. Only stated by seeds, and only in replies.
     std::vector<Instance> neighbours;
     /// What it knows of requests that crash servers, the newest first.
     std::vector<CrashReport> crashes;
@@ -75,7 +75,7 @@
     /// Calls the seeds now, besides the periodic calls.
     void announce();
     /// Tells the seeds, the neighbours and all instances that were heard of lately. For news that
-    /// can't wait until they call. Neighbours that pass them on make up for seeds out of reach.
+    /// can't wait until they call. Neighbours pass them on when seeds can't be reached.
     void announceToAll();
 
 private:
--- a/modules/adapters/src/gateway/FleetBeacon.cpp
+++ b/modules/adapters/src/gateway/FleetBeacon.cpp
@@ -25,7 +25,7 @@
 constexpr Duration laterPeriod = seconds(3);
 constexpr int quickCalls = 6;
 constexpr std::size_t largestDatagram = 4096;
-/// Of a list in a message.
+/// Instances that are taken from one list of a message.
 constexpr std::size_t maximumInstances = 64;
 constexpr std::size_t maximumCrashReports = 32;
 /// Instances that have not called for this time are gone.
--- a/modules/daemon/src/RegistryView.h
+++ b/modules/daemon/src/RegistryView.h
@@ -17,8 +17,8 @@
 /// Takes what is read from the registry: keeps the directory of servers, and puts published
 /// configurations in force.
 ///
-/// A registry that was restored from an older copy tells what was true before. Until its entries
-/// have been written again or have lapsed, those that are older than what is known are held back.
+/// After the registry was restored from an older copy, entries that are older than what is known of
+/// their servers are held back until they have been written again or have lapsed.
 class RegistryView final : public gateway::RegistryListener
 {
 public:
@@ -63,7 +63,7 @@
     Duration m_lease;
     Apply m_apply;
     gateway::RegistryCopy m_copy;
-    /// Entries of servers that are older than what is known of these, by key.
+    /// Entries of a restored registry that are older than what is known of their servers, by key.
     std::map<std::string, gateway::RegistryItem> m_heldBack;
     TimePoint m_restoringUntil{};
     Subscription m_restored;
--- a/modules/gateway/include/oleander/gateway/CrashGuard.h
+++ b/modules/gateway/include/oleander/gateway/CrashGuard.h
@@ -24,7 +24,8 @@
 struct CrashTrial
 {
     Fingerprint fingerprint;
-    /// The trial of all requests that differ from these in the query only; null if there is none.
+    /// The trial of all requests that differ from these in the query only; null if these have no
+    /// query.
     std::shared_ptr<CrashTrial> resource;
     /// Attempts that servers hold or wait for.
     int inFlight = 0;
@@ -47,7 +48,7 @@
 
     /// Calls `apply` with this trial and that of the resource.
     template <typename Function>
-    void forEachLevel(Function apply)
+    void forRequestAndResource(Function apply)
     {
         apply(*this);
         if (resource)
@@ -75,9 +76,9 @@
 /// the limit of lost servers is reached; then it is refused. What instances attribute to a request
 /// is exchanged between them.
 ///
-/// The same is done for all requests that differ in the query only, since a caller may repeat a
-/// request with another one. Requests for a resource that servers survive keep it from being
-/// refused.
+/// The same is done for the resource of a request, which is the request without its query, since a
+/// caller may repeat it with another query. The stricter decision holds. A server that survives any
+/// query clears the resource, but not the other queries.
 class CrashGuard
 {
 public:
@@ -92,7 +93,8 @@
     [[nodiscard]] SendDecision decide(const CrashTrial &trial) const;
     /// Time until a refused request may be sent again; zero for all others.
     [[nodiscard]] Duration refusalLeft(const CrashTrial &trial) const;
-    /// Calls `callback` when the evidence changes, once or twice.
+    /// Calls `callback` when the evidence about the request changes, and when that about its
+    /// resource does.
     static void awaitEvidence(CrashTrial &trial, const std::function<void()> &callback);
 
     // Attempts
--- a/modules/gateway/include/oleander/gateway/FleetMembers.h
+++ b/modules/gateway/include/oleander/gateway/FleetMembers.h
@@ -35,8 +35,8 @@
     void onBeacon(const Instance &instance, double strength, TimePoint now);
     /// The elected coordinators. Instances not heard of for a few beacons are left out.
     [[nodiscard]] const std::vector<Instance> &coordinators(TimePoint now);
-    /// The instances that `member` tells news to without the seeds, as chosen by gossipNeighbours()
-    /// among the members of the last election. Empty for an instance that is no member.
+    /// The gossip neighbours of `member` among the members of the last election, see
+    /// gossipNeighbours(). Empty for an instance that was none of them.
     [[nodiscard]] const std::vector<Instance> &neighboursOf(const InstanceId &member);
 
 private:
--- a/modules/gateway/src/CrashGuard.cpp
+++ b/modules/gateway/src/CrashGuard.cpp
@@ -118,12 +118,13 @@
 
 void CrashGuard::awaitEvidence(CrashTrial &trial, const std::function<void()> &callback)
 {
-    trial.forEachLevel([&callback](CrashTrial &level) { level.waiting.push_back(callback); });
+    trial.forRequestAndResource(
+        [&callback](CrashTrial &affected) { affected.waiting.push_back(callback); });
 }
 
 void CrashGuard::onSubmitted(CrashTrial &trial)
 {
-    trial.forEachLevel([](CrashTrial &level) { ++level.inFlight; });
+    trial.forRequestAndResource([](CrashTrial &affected) { ++affected.inFlight; });
 }
 
 void CrashGuard::onReplied(CrashTrial &trial, const ServerId &server, int status)
@@ -132,36 +133,36 @@
         onEnded(trial);
         return;
     }
-    trial.forEachLevel([&](CrashTrial &level) {
-        --level.inFlight;
-        level.loss.reset();
-        if (std::exchange(level.hasSurvivor, true))
+    trial.forRequestAndResource([&](CrashTrial &affected) {
+        --affected.inFlight;
+        affected.loss.reset();
+        if (std::exchange(affected.hasSurvivor, true))
             return;
-        if (noteSurvived(m_memory, level.fingerprint, m_timer.now())) {
+        if (noteSurvived(m_memory, affected.fingerprint, m_timer.now())) {
             m_log.record(EventId::CrashSuspicionCleared, {},
-                         {{"fingerprint", level.fingerprint.value()},
+                         {{"fingerprint", affected.fingerprint.value()},
                           {"server", server.text()},
                           {"status", status}});
         }
-        notify(level);
+        notify(affected);
     });
 }
 
 void CrashGuard::onConnectionClosed(CrashTrial &trial)
 {
-    trial.forEachLevel([now = m_timer.now()](CrashTrial &level) {
-        --level.inFlight;
-        ++level.unverified;
-        level.lastClosedAt = now;
+    trial.forRequestAndResource([now = m_timer.now()](CrashTrial &affected) {
+        --affected.inFlight;
+        ++affected.unverified;
+        affected.lastClosedAt = now;
     });
 }
 
 void CrashGuard::onEnded(CrashTrial &trial)
 {
-    trial.forEachLevel([this](CrashTrial &level) {
-        --level.inFlight;
-        attributeIfDone(level);
-        notify(level);
+    trial.forRequestAndResource([this](CrashTrial &affected) {
+        --affected.inFlight;
+        attributeIfDone(affected);
+        notify(affected);
     });
 }
 
@@ -173,12 +174,12 @@
         suspects.insert(trial->fingerprint);
     const auto count = static_cast<std::int64_t>(suspects.size());
     for (const auto &trial : trials) {
-        trial->forEachLevel([&](CrashTrial &level) {
-            --level.unverified;
-            if (hasEnded && !level.hasSurvivor && !level.loss)
-                level.loss = {level.fingerprint, server, (wholeServer + count - 1) / count};
-            attributeIfDone(level);
-            notify(level);
+        trial->forRequestAndResource([&](CrashTrial &affected) {
+            --affected.unverified;
+            if (hasEnded && !affected.hasSurvivor && !affected.loss)
+                affected.loss = {affected.fingerprint, server, (wholeServer + count - 1) / count};
+            attributeIfDone(affected);
+            notify(affected);
         });
     }
 }
--- a/modules/gateway/tests/CrashingRequestFleetTest.cpp
+++ b/modules/gateway/tests/CrashingRequestFleetTest.cpp
@@ -24,8 +24,8 @@
 constexpr Duration restartTime = seconds(3);
 /// Time after a server's end until its registration is removed.
 constexpr Duration lapseTime = milliseconds(3600);
-/// Further sendings are counted from this time after the loss of so many servers.
-constexpr std::size_t countedAfterLosses = 3;
+/// Retries count as late from this time after the loss of so many servers.
+constexpr std::size_t lateAfterLosses = 3;
 constexpr Duration settleTime = seconds(4);
 constexpr int permittedRetries = 3;
 /// Servers that one request may cost while instances learn of it.
@@ -101,7 +101,7 @@
         });
     }
 
-    [[nodiscard]] bool isExchanging(int number) const { return !isCut.contains(number); }
+    [[nodiscard]] bool isExchanging(int number) const { return !unreachable.contains(number); }
 
     void deliver(int from, int to)
     {
@@ -151,18 +151,18 @@
         scheduler.schedule(scheduler.now() + milliseconds(45), [this] { startLoad(); });
     }
 
-    /// Sends `path` to different instances for a minute, twice every 1.3 s.
+    /// Sends the request to one instance after another for a minute, twice every 1.3 s.
     void repeatCrashing(const std::function<std::string()> &path)
     {
         for (int round = 0; round < 46; ++round) {
             for (int attempt = 0; attempt < 2; ++attempt) {
                 const TimePoint now = scheduler.now();
                 const auto before = lossTimes.size();
-                const bool isCounted = before >= countedAfterLosses
-                                       && now > lossTimes[countedAfterLosses - 1] + settleTime;
+                const bool isLate =
+                    before >= lateAfterLosses && now > lossTimes[lateAfterLosses - 1] + settleTime;
                 send(round * 7 + attempt * 3, path());
                 scheduler.runFor(milliseconds(650));
-                lateRetries += isCounted && lossTimes.size() > before ? 1 : 0;
+                lateRetries += isLate && lossTimes.size() > before ? 1 : 0;
             }
         }
     }
@@ -186,8 +186,8 @@
     int lastSeed = 1;
     int lastServer = 0;
     int lateRetries = 0;
-    /// Instances that exchange no messages with others.
-    std::set<int> isCut;
+    /// Instances that exchange no messages with others, though callers and servers reach them.
+    std::set<int> unreachable;
     /// As all seeds know them.
     FleetMembers members;
     std::vector<TimePoint> lossTimes;
@@ -265,11 +265,11 @@
 // Guards against losses that are told to nobody while all seeds are out of reach.
 TEST_F(CrashingRequestFleetTest, RequestIsHeldBackWithoutTheSeeds)
 {
-    isCut = {0, 1, 2};
+    unreachable = {0, 1, 2};
     startLoad();
     repeatCrashing([] { return "/one/crash"; });
     // The seeds learn for themselves.
-    EXPECT_LE(lossTimes.size(), permittedLosses + 2 * isCut.size());
+    EXPECT_LE(lossTimes.size(), permittedLosses + 2 * unreachable.size());
     EXPECT_LE(lateRetries, permittedRetries);
 }
 
