Evacuated data centres get no further requests

Change: the registry view reads the evacuations beside servers and configuration and keeps them in the copy for other instances. While a restored registry is read again, those in force stay, and those of the copy are not begun. BackendServer::isUsable() is the one decision, so that attempts, parts, hedges, retries and groups all obey it; unsent requests move on. Evacuated data centres do not count as those beside which coordinators stand. Also ServerRoom, what a sender expects of a server's room.

--- a/modules/core/include/oleander/core/Event.h
+++ b/modules/core/include/oleander/core/Event.h
@@ -35,6 +35,8 @@
     RegistryReaderFailed = 226,
     RegistryAnswerTooLarge = 227,
     RegistryRestored = 228,
+    EvacuationStarted = 229,
+    EvacuationEnded = 230,
     QueryRefused = 300,
     QueryPartial = 301,
     QueryFailed = 302,
--- a/modules/daemon/include/oleander/daemon/GatewayPlatform.h
+++ b/modules/daemon/include/oleander/daemon/GatewayPlatform.h
@@ -28,6 +28,8 @@
     std::string readinessPath;
     /// Prefix of the keys under which servers register.
     std::string serverPrefix;
+    /// Prefix of the keys whose existence says that the data centre named after it is evacuated.
+    std::string evacuationPrefix;
     /// Key of the item that holds the configuration.
     std::string configurationKey;
     /// Prefix of all keys that matter here.
--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -111,10 +111,15 @@
               [this](const ServerId &server, const gateway::ServerRegistration *registration) {
                   m_fleet.onRegistration(server, registration);
               })
-        , m_view(m_platform, m_directory, m_timer, m_log, lapsedHeartbeats * m_settings.heartbeat,
-                 [this](gateway::GatewayConfiguration configuration) {
-                     return configure(std::move(configuration));
-                 })
+        , m_view(
+              m_platform, m_directory, m_timer, m_log, lapsedHeartbeats * m_settings.heartbeat,
+              [this](gateway::GatewayConfiguration configuration) {
+                  return configure(std::move(configuration));
+              },
+              [this](const std::set<DataCentreId> &evacuated) {
+                  m_fleet.setEvacuated(evacuated);
+                  m_delegation.evaluate();
+              })
         , m_registry(m_platform.openRegistry(m_context, m_timer, m_settings.registryAddress))
         , m_peers(m_context, m_timer, m_log,
                   {m_settings.instance, FleetId(fleetName), m_settings.fleetKey})
@@ -393,6 +398,8 @@
             {"rate_limited_servers", "Servers that limit the rate of requests.",
              number(m_fleet.rateLimitedServers())},
             {"active_calls", "Requests under way.", number(m_gateway.activeCalls())},
+            {"evacuated_data_centres", "Data centres whose servers get no requests.",
+             number(m_fleet.evacuatedDataCentres())},
             {"coordinators", "Instances that coordinate gathered requests.",
              number(m_delegation.coordinators())},
             {"is_coordinator", "Whether this instance is one of them.",
--- a/modules/daemon/src/RegistryView.cpp
+++ b/modules/daemon/src/RegistryView.cpp
@@ -8,13 +8,15 @@
 using gateway::RegistryItem;
 
 RegistryView::RegistryView(const GatewayPlatform &platform, gateway::ServerDirectory &directory,
-                           TimerService &timer, EventLog &log, Duration lease, Apply apply)
+                           TimerService &timer, EventLog &log, Duration lease, Apply apply,
+                           Evacuate evacuate)
     : m_platform(platform)
     , m_directory(directory)
     , m_timer(timer)
     , m_log(log)
     , m_lease(lease)
     , m_apply(std::move(apply))
+    , m_evacuate(std::move(evacuate))
 {
 }
 
@@ -28,6 +30,7 @@
     std::vector<RegistryItem> mattering;
     if (auto configuration = chooseConfiguration(items))
         mattering.push_back(std::move(*configuration));
+    std::ranges::move(chooseEvacuations(items), std::back_inserter(mattering));
     for (const RegistryItem &item : items) {
         auto registration = isServer(item) ? readServer(item) : std::nullopt;
         if (!registration)
@@ -44,6 +47,8 @@
     m_copy.replaceAll(mattering, position, [this](const auto &held, const auto &given) {
         return hasSameMeaning(held, given);
     });
+    // Before the servers, so that those of an evacuated data centre get no request at the start.
+    applyEvacuations();
     m_directory.replaceAll(std::move(registrations), m_timer.now());
 }
 
@@ -61,6 +66,10 @@
             m_copy.note(item, position);
         return;
     }
+    if (isEvacuation(item)) {
+        applyEvacuationChange(item, position);
+        return;
+    }
     if (!isServer(item))
         return;
     m_heldBack.erase(item.key);
@@ -91,6 +100,15 @@
 
 void RegistryView::releaseHeldBack()
 {
+    if (const auto restored = std::exchange(m_restoredEvacuations, std::nullopt)) {
+        for (const RegistryItem &held : m_copy.items()) {
+            if (isEvacuation(held) && !restored->contains(held.key))
+                m_copy.note({held.key, {}, true}, m_copy.position());
+        }
+        for (const auto &[key, item] : *restored)
+            m_copy.note(item, m_copy.position());
+        applyEvacuations();
+    }
     for (const auto &[key, item] : std::exchange(m_heldBack, {})) {
         if (auto registration = readServer(item))
             m_directory.put(std::move(*registration));
@@ -119,6 +137,60 @@
     return item.key == m_platform.configurationKey;
 }
 
+bool RegistryView::isEvacuation(const RegistryItem &item) const
+{
+    return !m_platform.evacuationPrefix.empty()
+           && item.key.size() > m_platform.evacuationPrefix.size()
+           && item.key.starts_with(m_platform.evacuationPrefix);
+}
+
+DataCentreId RegistryView::evacuatedBy(const std::string &key) const
+{
+    return DataCentreId(key.substr(m_platform.evacuationPrefix.size()));
+}
+
+std::vector<RegistryItem> RegistryView::chooseEvacuations(const std::vector<RegistryItem> &items)
+{
+    std::vector<RegistryItem> present;
+    std::ranges::copy_if(items, std::back_inserter(present),
+                         [this](const RegistryItem &item) { return isEvacuation(item); });
+    if (!isRestoring()) {
+        m_restoredEvacuations.reset();
+        return present;
+    }
+    m_restoredEvacuations.emplace();
+    for (RegistryItem &item : present)
+        m_restoredEvacuations->emplace(item.key, std::move(item));
+    std::vector<RegistryItem> held = m_copy.items();
+    std::erase_if(held, [this](const RegistryItem &item) { return !isEvacuation(item); });
+    return held;
+}
+
+void RegistryView::applyEvacuationChange(const RegistryItem &item,
+                                         gateway::RegistryPosition position)
+{
+    if (m_restoredEvacuations) {
+        m_restoredEvacuations->erase(item.key);
+        if (!item.isRemoved)
+            m_restoredEvacuations->emplace(item.key, item);
+    }
+    m_copy.note(item, position);
+    applyEvacuations();
+}
+
+void RegistryView::applyEvacuations()
+{
+    std::set<DataCentreId> evacuated;
+    for (const RegistryItem &item : m_copy.items()) {
+        if (isEvacuation(item))
+            evacuated.insert(evacuatedBy(item.key));
+    }
+    if (evacuated == m_evacuated)
+        return;
+    m_evacuated = std::move(evacuated);
+    m_evacuate(m_evacuated);
+}
+
 bool RegistryView::isServer(const RegistryItem &item) const
 {
     return item.key.starts_with(m_platform.serverPrefix);
--- a/modules/daemon/tests/RegistryViewTest.cpp
+++ b/modules/daemon/tests/RegistryViewTest.cpp
@@ -20,6 +20,7 @@
     GatewayPlatform platform;
     platform.serverPrefix = "servers/";
     platform.configurationKey = "configuration";
+    platform.evacuationPrefix = "evacuate/";
     platform.readRegistration = [](const RegistryItem &item, Reason &) {
         ServerRegistration registration;
         std::istringstream text(item.value);
@@ -76,14 +77,21 @@
     GatewayPlatform platform = makePlatform();
     ServerDirectory directory{[](const ServerId &, const ServerRegistration *) {}};
     std::uint64_t version = 0;
+    std::set<DataCentreId> evacuated;
     RegistryView view{
-        platform, directory, timer, log, lease, [this](const GatewayConfiguration &configuration) {
+        platform,
+        directory,
+        timer,
+        log,
+        lease,
+        [this](const GatewayConfiguration &configuration) {
             const std::uint64_t offered = configuration.version.value();
             if (offered < version)
                 return false;
             version = offered;
             return true;
-        }};
+        },
+        [this](const std::set<DataCentreId> &dataCentres) { evacuated = dataCentres; }};
 };
 
 // Guards against requests to a server whose drain the registry has lost.
@@ -175,4 +183,65 @@
     EXPECT_TRUE(isUsed("a"));
 }
 
+const std::set<DataCentreId> onlyNorth{DataCentreId("north")};
+
+// Guards against requests to a data centre that the operator has emptied, and against one that
+// stays empty after the operator has taken the evacuation back.
+TEST_F(RegistryViewTest, EvacuationHoldsUntilItIsTakenBack)
+{
+    view.onChanges({{"evacuate/north", "{}", false}}, {1, 21});
+    EXPECT_EQ(evacuated, onlyNorth);
+    EXPECT_EQ(copiedValue("evacuate/north"), "{}") << "other instances are told";
+    view.onReconnected(seconds(10));
+    EXPECT_EQ(evacuated, onlyNorth);
+    view.onItems({{"evacuate/north", "{}", false}, server("a", "ready 1 5")}, {1, 25});
+    EXPECT_EQ(evacuated, onlyNorth);
+    view.onChanges({{"evacuate/north", {}, true}}, {1, 26});
+    EXPECT_TRUE(evacuated.empty());
+}
+
+// Guards against missing an evacuation that was taken back while the registry was out of reach.
+TEST_F(RegistryViewTest, EvacuationThatIsAbsentFromAFullReadIsOver)
+{
+    view.onChanges({{"evacuate/north", "{}", false}}, {1, 21});
+    view.onItems({server("a", "ready 1 5")}, {1, 25});
+    EXPECT_TRUE(evacuated.empty());
+}
+
+// Guards against requests to a data centre whose evacuation the restored registry has lost.
+TEST_F(RegistryViewTest, EvacuationThatARestoredRegistryHasLostStaysInForceForAWhile)
+{
+    view.onChanges({{"evacuate/north", "{}", false}}, {1, 21});
+    view.onItems({server("a", "ready 1 5")}, {2, 12});
+    EXPECT_EQ(evacuated, onlyNorth);
+    EXPECT_EQ(copiedValue("evacuate/north"), "{}") << "instances that start are told";
+    runFor(seconds(3));
+    EXPECT_EQ(evacuated, onlyNorth);
+    view.onChanges({{"evacuate/north", "{}", false}}, {2, 13});
+    runFor(seconds(10));
+    EXPECT_EQ(evacuated, onlyNorth);
+}
+
+// Guards against an evacuation without end, when nobody writes again what the copy lacks.
+TEST_F(RegistryViewTest, LostEvacuationEndsUnlessItIsWrittenAgain)
+{
+    view.onChanges({{"evacuate/north", "{}", false}}, {1, 21});
+    view.onItems({server("a", "ready 1 5")}, {2, 12});
+    runFor(seconds(10));
+    EXPECT_TRUE(evacuated.empty());
+    EXPECT_EQ(copiedValue("evacuate/north"), "");
+}
+
+// Guards against emptying a data centre again because of a copy from before the evacuation ended.
+TEST_F(RegistryViewTest, EvacuationThatCameBackWithTheCopyIsNotBegunAtOnce)
+{
+    view.onChanges({{"evacuate/north", "{}", false}}, {1, 21});
+    view.onChanges({{"evacuate/north", {}, true}}, {1, 22});
+    view.onItems({{"evacuate/north", "{}", false}, server("a", "ready 1 5")}, {2, 12});
+    EXPECT_TRUE(evacuated.empty());
+    view.onChanges({{"evacuate/north", {}, true}}, {2, 13});
+    runFor(seconds(10));
+    EXPECT_TRUE(evacuated.empty());
+}
+
 } // namespace
--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <oleander/decisions/request/RateLimit.h>
+#include <oleander/decisions/request/ServerRoom.h>
 #include <oleander/gateway/Attempt.h>
 #include <oleander/gateway/GatewayPolicy.h>
 #include <oleander/gateway/ServerDirectory.h>
@@ -42,8 +43,11 @@
     /// Send time of the oldest request that has no reply yet.
     [[nodiscard]] std::optional<TimePoint> oldestSendTime() const;
     [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
+    /// What this instance knows of the room that the server has.
+    [[nodiscard]] ServerRoom room() const;
     /// True when new work may be sent: the server is registered, neither the registry nor an answer
-    /// of its own says that it is leaving, and its address is not used by another server.
+    /// of its own says that it is leaving, its data centre is not evacuated, and its address is not
+    /// used by another server.
     [[nodiscard]] bool isUsable() const;
     /// True while the server is ejected after a failed connection attempt and has no open
     /// connection. No requests are sent to it then.
@@ -67,6 +71,9 @@
     /// Sets the number of instances that share a rate limit of the server, and the share of a
     /// request, from 0 to 1, that this one may send at the start of a limit.
     void setRateSharing(int instances, double initialTokens);
+    /// Called when the evacuation of the server's data centre begins or ends. Requests that were
+    /// not sent move to other servers.
+    void setEvacuated(bool isEvacuated);
     /// Called when the server is no longer registered. Running requests finish, and no new ones
     /// start.
     void retire();
@@ -125,6 +132,7 @@
     /// Until this time the server wants no requests of this instance.
     TimePoint m_turnedAwayUntil{};
     bool m_isRetired = false;
+    bool m_isEvacuated = false;
     /// An answer has said that the server is leaving. Like the next, reset by a registration with a
     /// new start time or address.
     bool m_isLeaving = false;
--- a/modules/gateway/include/oleander/gateway/ServerFleet.h
+++ b/modules/gateway/include/oleander/gateway/ServerFleet.h
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -61,13 +62,17 @@
     /// Called when a configuration takes effect. Only its services get connections.
     void onConfiguration(const GatewayConfiguration &configuration);
 
+    /// Sets the data centres whose servers must get no requests. Unknown ones have no effect until
+    /// servers of theirs register.
+    void setEvacuated(std::set<DataCentreId> dataCentres);
     /// Called when the number of instances in the policy changed.
     void onInstanceCountChanged();
     /// Sets how shards are shared. Connections follow.
     void setShardSharing(const ShardSharing &sharing);
 
     // Shards
-    /// Data centres that have at least half as many servers of shards as the one with the most.
+    /// Data centres that have at least half as many servers of shards as the one with the most,
+    /// except evacuated ones.
     [[nodiscard]] std::vector<DataCentreId> shardDataCentres() const;
     /// The lowest connection cap of a shard, or nothing if there are no shards.
     [[nodiscard]] std::optional<int> shardConnectionCap() const;
@@ -86,6 +91,7 @@
     [[nodiscard]] std::size_t connections() const;
     /// Number of servers that limit the rate of requests.
     [[nodiscard]] std::size_t rateLimitedServers() const;
+    [[nodiscard]] std::size_t evacuatedDataCentres() const { return m_evacuated.size(); }
     [[nodiscard]] CrashGuard &crashGuard() { return m_crashGuard; }
     [[nodiscard]] const CrashGuard &crashGuard() const { return m_crashGuard; }
     /// Takes one extra attempt from the service's budget; false when it is exhausted.
@@ -130,6 +136,7 @@
     /// Servers that wait for their first connection.
     std::vector<ServerId> m_warmUpQueue;
     ShardSharing m_shardSharing;
+    std::set<DataCentreId> m_evacuated;
     Subscription m_maintenanceTimer;
     Subscription m_warmUpTimer;
     /// Ends the time after the first configuration in which shards get no connections ahead.
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -125,9 +125,28 @@
     return oldest;
 }
 
+ServerRoom BackendServer::room() const
+{
+    ServerRoom room;
+    room.slots = m_registration.slots;
+    room.ownInFlight = inFlight();
+    if (!m_score.load) {
+        room.ownSentSince = room.ownInFlight;
+        return room;
+    }
+    room.reported = m_score.load->running + m_score.load->waiting;
+    room.reportAge = m_context.timer.now() - m_score.loadReceivedAt;
+    const auto sentSince = std::ranges::count_if(m_connections, [this](const auto &connection) {
+        return connection->current() && connection->current()->sentAt > m_score.loadReceivedAt;
+    });
+    room.ownSentSince = static_cast<int>(sentSince) + static_cast<int>(m_waiting.size());
+    return room;
+}
+
 bool BackendServer::isUsable() const
 {
-    return !m_isRetired && !m_isLeaving && !m_isAddressReused && !m_registration.isDraining;
+    return !m_isRetired && !m_isLeaving && !m_isAddressReused && !m_isEvacuated
+           && !m_registration.isDraining;
 }
 
 bool BackendServer::isEjected() const
@@ -183,6 +202,13 @@
         failWaiting();
 }
 
+void BackendServer::setEvacuated(bool isEvacuated)
+{
+    m_isEvacuated = isEvacuated;
+    if (isEvacuated)
+        failWaiting();
+}
+
 void BackendServer::retire()
 {
     m_isRetired = true;
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -95,9 +95,11 @@
                                   {"source", "registry"}});
         }
         held->update(*registration);
+        held->setEvacuated(m_evacuated.contains(registration->dataCentre));
         return;
     }
     held = std::make_unique<BackendServer>(m_context, *registration);
+    held->setEvacuated(m_evacuated.contains(registration->dataCentre));
     m_context.log.record(EventId::ServerRegistered, {},
                          {{"server", server.text()},
                           {"service", registration->service.text()},
@@ -129,6 +131,22 @@
     }
 }
 
+void ServerFleet::setEvacuated(std::set<DataCentreId> dataCentres)
+{
+    for (const DataCentreId &dataCentre : dataCentres) {
+        if (!m_evacuated.contains(dataCentre))
+            m_context.log.record(EventId::EvacuationStarted, {},
+                                 {{"dataCentre", dataCentre.text()}});
+    }
+    for (const DataCentreId &dataCentre : m_evacuated) {
+        if (!dataCentres.contains(dataCentre))
+            m_context.log.record(EventId::EvacuationEnded, {}, {{"dataCentre", dataCentre.text()}});
+    }
+    m_evacuated = std::move(dataCentres);
+    for (const auto &[id, server] : m_servers)
+        server->setEvacuated(m_evacuated.contains(server->registration().dataCentre));
+}
+
 void ServerFleet::onInstanceCountChanged()
 {
     for (const auto &[id, pool] : m_pools)
@@ -152,8 +170,10 @@
     for (const auto &[id, pool] : m_pools) {
         if (!pool->isShard || pool->connectionCap <= 0)
             continue;
-        for (const BackendServer *server : pool->servers)
-            ++servers[server->registration().dataCentre];
+        for (const BackendServer *server : pool->servers) {
+            if (!m_evacuated.contains(server->registration().dataCentre))
+                ++servers[server->registration().dataCentre];
+        }
     }
     std::size_t most = 0;
     for (const auto &[dataCentre, count] : servers)
--- a/modules/gateway/src/ServerScore.cpp
+++ b/modules/gateway/src/ServerScore.cpp
@@ -1,5 +1,6 @@
 #include "Ratio.h"
 
+#include <oleander/decisions/request/ServerRoom.h>
 #include <oleander/gateway/ServerScore.h>
 #include <oleander/ports/RandomSource.h>
 
@@ -40,8 +41,6 @@
 /// Lower limit of the weight factor for failures, so that a failing server is still tried
 /// occasionally.
 constexpr double minimumSuccessWeight = 0.02;
-/// Load reports are ignored after this time.
-constexpr Duration loadReportLifetime = milliseconds(600);
 constexpr Duration initialEjection = milliseconds(250);
 constexpr Duration maximumEjection = seconds(2);
 /// Limits the growth of the ejection time, which starts short because a single failure may only
@@ -117,10 +116,9 @@
 
 double reportedQueue(const ServerScore &score, TimePoint now)
 {
-    if (!score.load || now - score.loadReceivedAt > loadReportLifetime || score.load->slots <= 0)
+    if (!score.load || score.load->slots <= 0)
         return 0;
-    const double freshness = 1.0 - ratio(now - score.loadReceivedAt, loadReportLifetime);
-    return freshness * score.load->waiting / score.load->slots;
+    return reportFreshness(now - score.loadReceivedAt) * score.load->waiting / score.load->slots;
 }
 
 double selectionWeight(const ServerCandidate &candidate, TimePoint now)
--- a/modules/gateway/tests/ServerFleetTest.cpp
+++ b/modules/gateway/tests/ServerFleetTest.cpp
@@ -76,6 +76,37 @@
     EXPECT_EQ(servers.counters(addressOf(shardCount, 1)).arrived, 50);
 }
 
+// Guards against requests to a data centre that the operator has emptied, in particular to servers
+// that register there later, and against losing requests that wait for one of its servers.
+TEST_F(ServerFleetTest, EvacuatedDataCentreGetsNoRequest)
+{
+    ServerRegistration moved = registrationOf(shardCount, 0);
+    moved.dataCentre = DataCentreId("elsewhere");
+    instance.fleet.onRegistration(moved.id, &moved);
+    instance.fleet.setEvacuated({moved.dataCentre});
+    sendOneByOne(50);
+    EXPECT_EQ(servers.counters(addressOf(shardCount, 0)).arrived, 0);
+    instance.fleet.onRegistration(moved.id, nullptr);
+    instance.fleet.onRegistration(moved.id, &moved);
+    sendOneByOne(50);
+    EXPECT_EQ(servers.counters(addressOf(shardCount, 0)).arrived, 0);
+    instance.fleet.setEvacuated({});
+    sendOneByOne(50);
+    EXPECT_GT(servers.counters(addressOf(shardCount, 0)).arrived, 0);
+}
+
+// Guards against sending a request that the evacuated servers alone could execute.
+TEST_F(ServerFleetTest, RequestIsRefusedWhenOnlyAnEvacuatedDataCentreHasItsServers)
+{
+    instance.fleet.setEvacuated({registrationOf(shardCount, 0).dataCentre});
+    const auto received = instance.sendRequest("r", "/one/x", seconds(15));
+    scheduler.runFor(seconds(1));
+    ASSERT_TRUE(received->answer);
+    EXPECT_EQ(received->answer->status, 503);
+    EXPECT_EQ(servers.counters(addressOf(shardCount, 0)).arrived, 0);
+    EXPECT_EQ(servers.counters(addressOf(shardCount, 1)).arrived, 0);
+}
+
 TEST_F(ServerFleetTest, ServerThatRefusesConnectionsIsEjectedAndNoRequestFails)
 {
     servers.crash(addressOf(shardCount, 0));
