Pace of the load report, and names of slow start

Cause: servers state in a fourth figure of the load report how long work takes on their machine at present; it was ignored, so a machine that slows down was noticed only through the latencies of its replies. The limits of cold servers (warmupS, warmupPerS, healthPath, Warmup-Ms) were not read.

Change: the pace is parsed, bounded, and fades with the age of the report. It counts in the selection as the greater of pace and measured slowness, and in ServerRoom::pace. A report without it, or with one that cannot be read, is used as before.

--- a/modules/adapters/include/oleander/adapters/gateway/HeaderNames.h
+++ b/modules/adapters/include/oleander/adapters/gateway/HeaderNames.h
@@ -17,12 +17,14 @@
     std::string receipt;
     /// Present when a server has not executed a request.
     std::string notExecuted;
-    /// A server's load: running, waiting, slots.
+    /// A server's load: running, waiting, slots, and optionally the pace.
     std::string reportedLoad;
     /// Present when a server is leaving.
     std::string leaving;
     /// Requests per second that a server accepts from all instances together.
     std::string rateLimit;
+    /// Milliseconds for which a server is still cold.
+    std::string warmUpLeft;
 };
 
 } // namespace oleander
--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
@@ -36,6 +37,21 @@
 /// Interim replies and replies to earlier requests that are skipped before the one that is awaited.
 constexpr int maximumSkippedReplies = 16;
 
+/// The pace in a load report: 100 is normal. Limits bound what a corrupt figure can do to the
+/// choice of servers.
+std::optional<double> parsePace(std::string_view text)
+{
+    constexpr double normal = 100;
+    constexpr double lowest = 10;
+    constexpr double highest = 10'000;
+    double number = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (result.ec != std::errc{} || !std::isfinite(number) || number <= 0)
+        return std::nullopt;
+    return std::clamp(number, lowest, highest) / normal;
+}
+
+/// Running, waiting and slots, and the pace if the server states it.
 std::optional<gateway::ReportedLoad> parseLoad(std::string_view text)
 {
     std::array<int, 3> numbers{};
@@ -49,7 +65,10 @@
             return std::nullopt;
         next = result.ptr;
     }
-    return gateway::ReportedLoad{numbers[0], numbers[1], numbers[2]};
+    gateway::ReportedLoad load{numbers[0], numbers[1], numbers[2]};
+    if (next != end && *next == ',')
+        load.pace = parsePace({next + 1, static_cast<std::size_t>(end - next - 1)});
+    return load;
 }
 
 std::optional<double> parseDecimal(std::string_view text)
@@ -72,6 +91,17 @@
         std::chrono::duration<double>(std::min(*number, longest)));
 }
 
+/// A time in milliseconds, which may have fractions.
+std::optional<Duration> parseMilliseconds(std::string_view text)
+{
+    constexpr double longest = 86'400'000;
+    const auto number = parseDecimal(text);
+    if (!number)
+        return std::nullopt;
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(std::min(*number, longest)));
+}
+
 /// The time in "timeout=5, max=100".
 std::optional<Duration> parseKeepAlive(std::string_view text)
 {
@@ -316,6 +346,7 @@
         reply.isLeaving = viewOf(message[m_names.leaving]) == "1";
         reply.rateLimit = parseDecimal(viewOf(message[m_names.rateLimit]));
         reply.load = parseLoad(viewOf(message[m_names.reportedLoad]));
+        reply.warmUpLeft = parseMilliseconds(viewOf(message[m_names.warmUpLeft]));
         return reply;
     }
 
--- a/modules/adapters/tests/gateway/ServerLinksTest.cpp
+++ b/modules/adapters/tests/gateway/ServerLinksTest.cpp
@@ -30,6 +30,8 @@
     names.requestId = "Request-Id";
     names.receipt = "Receipt";
     names.notExecuted = "Not-Run";
+    names.reportedLoad = "Load";
+    names.warmUpLeft = "Cold";
     return names;
 }
 
@@ -232,6 +234,35 @@
     std::string m_bytes;
 };
 
+// Guards against dropping a load report because of a pace that is missing, as servers of the
+// previous release send it, or unreadable.
+TEST(ServerLinks, PaceIsOptionalInALoadReport)
+{
+    struct Case
+    {
+        std::string load;
+        std::optional<double> pace;
+    };
+    const std::vector<Case> cases{
+        {"1,2,3", std::nullopt},     {"1,2,3,250", 2.5},        {"1,2,3,62.5", 0.625},
+        {"1,2,3,250,7", 2.5},        {"1,2,3,x", std::nullopt}, {"1,2,3,-5", std::nullopt},
+        {"1,2,3,nan", std::nullopt}, {"1,2,3,1e9", 100.0},      {"1,2,3,0.001", 0.1}};
+    for (const Case &testCase : cases) {
+        asio::io_context context;
+        ClosingServer server(context, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nCold: 1500\r\nLoad: "
+                                          + testCase.load + "\r\nContent-Length: 0\r\n\r\n");
+        AsioServerLinks links(context, headerNames());
+        Requester requester(links, server.address());
+        while (!requester.isClosed && !requester.reply)
+            ASSERT_GT(context.run_one_for(std::chrono::seconds(5)), 0U);
+        ASSERT_TRUE(requester.reply);
+        EXPECT_EQ(requester.reply->warmUpLeft, milliseconds(1500));
+        ASSERT_TRUE(requester.reply->load) << testCase.load;
+        EXPECT_EQ(requester.reply->load->waiting, 2) << testCase.load;
+        EXPECT_EQ(requester.reply->load->pace, testCase.pace) << testCase.load;
+    }
+}
+
 // Guards against taking a reply whose server ended in the middle of it for a whole one, with an
 // empty or a short body.
 TEST(ServerLinks, ReplyThatIsCutBeforeItsEndIsNoReply)
--- a/modules/gateway/include/oleander/gateway/HttpMessage.h
+++ b/modules/gateway/include/oleander/gateway/HttpMessage.h
@@ -54,6 +54,8 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    /// How long work takes on the server at present, relative to normal; nothing if not stated.
+    std::optional<double> pace{};
 };
 
 /// A complete reply of a backend server.
@@ -77,6 +79,8 @@
     bool isLeaving = false;
     /// Requests per second that the server accepts from all instances together, if it states this.
     std::optional<double> rateLimit;
+    /// Remaining time in which the server is cold, if it states this.
+    std::optional<Duration> warmUpLeft;
 };
 
 /// Returns the path of a request target without the query.
--- a/modules/gateway/include/oleander/gateway/RouteTable.h
+++ b/modules/gateway/include/oleander/gateway/RouteTable.h
@@ -4,6 +4,7 @@
 #include <oleander/gateway/Route.h>
 
 #include <memory>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -26,6 +27,13 @@
     /// Maximum number of connections that one server of the service accepts from all instances
     /// together.
     int connectionCap = 0;
+    /// Time that a server of the service stays cold after its start.
+    Duration warmUp{};
+    /// Requests per second that a cold server accepts from all instances together; without a limit
+    /// if zero.
+    double warmUpPerSecond = 0;
+    /// Path at which a server states its health; empty if there is none.
+    std::string healthPath{};
 };
 
 /// One published configuration: routes, services and limits.
--- a/modules/gateway/include/oleander/gateway/ServerScore.h
+++ b/modules/gateway/include/oleander/gateway/ServerScore.h
@@ -67,6 +67,10 @@
 /// Queued requests per slot in the server's last load report; decreases with the age of the report.
 [[nodiscard]] double reportedQueue(const ServerScore &score, TimePoint now);
 
+/// How long work takes on the server relative to normal, as it has stated. Approaches 1 with the
+/// age of the statement; nothing without one.
+[[nodiscard]] std::optional<double> statedPace(const ServerScore &score, TimePoint now);
+
 /// Chooses a candidate at random in proportion to the weights, so that instances with the same
 /// information do not all select the same server. Nothing if there are no candidates.
 [[nodiscard]] std::optional<std::size_t> chooseServer(std::span<const ServerCandidate> candidates,
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -136,6 +136,7 @@
     }
     room.reported = m_score.load->running + m_score.load->waiting;
     room.reportAge = m_context.timer.now() - m_score.loadReceivedAt;
+    room.pace = statedPace(m_score, m_context.timer.now()).value_or(1);
     const auto sentSince = std::ranges::count_if(m_connections, [this](const auto &connection) {
         return connection->current() && connection->current()->sentAt > m_score.loadReceivedAt;
     });
--- a/modules/gateway/src/ServerScore.cpp
+++ b/modules/gateway/src/ServerScore.cpp
@@ -121,10 +121,20 @@
     return reportFreshness(now - score.loadReceivedAt) * score.load->waiting / score.load->slots;
 }
 
+std::optional<double> statedPace(const ServerScore &score, TimePoint now)
+{
+    if (!score.load || !score.load->pace)
+        return std::nullopt;
+    return 1.0 + reportFreshness(now - score.loadReceivedAt) * (*score.load->pace - 1.0);
+}
+
 double selectionWeight(const ServerCandidate &candidate, TimePoint now)
 {
     const ServerScore &score = *candidate.score;
-    double weight = std::pow(decayedSlowness(score, now), -slownessExponent);
+    const double measured = decayedSlowness(score, now);
+    // The measured latencies contain the pace, but follow its changes only slowly.
+    const double slowness = std::max(measured, statedPace(score, now).value_or(measured));
+    double weight = std::pow(slowness, -slownessExponent);
     const double queue = candidate.inFlight + reportedQueue(score, now);
     weight /= (1.0 + queue) * (1.0 + queue);
     const double successRate = 1.0 - score.failureRate;
--- a/modules/gateway/tests/GatewayComponentsTest.cpp
+++ b/modules/gateway/tests/GatewayComponentsTest.cpp
@@ -1,3 +1,4 @@
+#include <oleander/decisions/request/ServerRoom.h>
 #include <oleander/gateway/ExtraBudget.h>
 #include <oleander/gateway/FleetSize.h>
 #include <oleander/gateway/RecordMerge.h>
@@ -223,6 +224,29 @@
     EXPECT_LT(shareOfFirst(), 0.05);
 }
 
+// Guards against requests to a machine that has just stated that work takes five times as long, and
+// against avoiding it long after the statement, which no reply renews while it is avoided.
+TEST_F(ServerChoiceTest, StatedPaceCountsAtOnceAndFades)
+{
+    noteLoad(first, {0, 0, 2, 5.0}, now);
+    noteLoad(second, {0, 0, 2, 1.0}, now);
+    EXPECT_LT(shareOfFirst(), 0.01);
+    now += loadReportLifetime / 2;
+    EXPECT_LT(shareOfFirst(), 0.1);
+    now += loadReportLifetime / 2;
+    EXPECT_NEAR(shareOfFirst(), 0.5, 0.01);
+}
+
+// Guards against a change for servers that state no pace.
+TEST_F(ServerChoiceTest, ReportWithoutPaceLeavesTheMeasuredSlowness)
+{
+    noteReply(first, milliseconds(10), milliseconds(20), now);
+    const double before = shareOfFirst();
+    noteLoad(first, {0, 0, 2}, now);
+    EXPECT_EQ(shareOfFirst(), before);
+    EXPECT_GT(before, 0.6);
+}
+
 TEST_F(ServerChoiceTest, SlowServerRegainsItsShareAfterRecovery)
 {
     for (int reply = 0; reply < 30; ++reply)
