Cold servers get no more than their service allows, from all instances together

Cause: a server that had just started, or whose evacuation had ended, got 0.4 of its usual weight, whatever its service accepts while cold; the last server of a shard got everything.

Change: coldStartShare() divides the allowance of a cold server among the instances, or among the coordinators that rank first for it when not all fit, with room for two instances that do not know the others. RateLimit keeps each share; a token is taken when the request is sent. ColdState, one for each server, knows whether it is cold: from its registration, its replies and its health path, or by assumption after a new start, a lost connection, the end of an evacuation or a pause of this process. Services without a limit take none of these paths and get no probes.

--- a/modules/core/include/oleander/core/Event.h
+++ b/modules/core/include/oleander/core/Event.h
@@ -50,6 +50,8 @@
     ServerSilent = 404,
     ServerWrongSnapshot = 405,
     ServerRateLimit = 406,
+    ServerCold = 407,
+    ServerWarm = 408,
     CrashSuspicion = 410,
     CrashRefusal = 411,
     CrashSuspicionCleared = 412,
--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -182,6 +182,7 @@
         m_expiry = m_timer.callEvery(expirePeriod, [this](const TimerTick &tick) {
             m_directory.expire(tick.fired);
             electCoordinators();
+            chooseColdSenders();
             noteReadiness();
         });
         m_log.record(EventId::DaemonStarted, {},
@@ -275,6 +276,23 @@
         m_delegation.onCoordinators(m_settings.instance, m_members.coordinators(now));
     }
 
+    /// Cold servers get requests of coordinators only while the fleet is large, since all instances
+    /// know these.
+    void chooseColdSenders()
+    {
+        const bool isOnlySeed = std::ranges::all_of(m_settings.seeds, [this](const Address &seed) {
+            return seed.number == m_settings.peerAddress.number && seed.port == m_peerPort;
+        });
+        std::vector<InstanceId> candidates;
+        if (isOnlySeed && !m_fleetSize.estimate()) {
+            candidates.push_back(m_settings.instance);
+        } else if (m_policy.instances) {
+            for (const Instance &coordinator : m_delegation.known())
+                candidates.push_back(coordinator.id);
+        }
+        m_fleet.setColdSenders(m_settings.instance, std::move(candidates));
+    }
+
     void onBeacon(const BeaconNews &news, const std::string &number)
     {
         Instance sender = describe(news.instance, news.dataCentre, {number, news.peerPort});
@@ -380,6 +398,11 @@
              number(counts.undelegated)},
             {"gathers_coordinated_total", "Gathered requests executed for other instances.",
              number(counts.coordinated)},
+            {"cold_requests_total", "Requests sent to cold servers within their allowance.",
+             number(m_fleet.coldRequests())},
+            {"cold_requests_held_back_total",
+             "Times that a request found only cold servers without an allowance.",
+             number(m_fleet.heldBackRequests())},
             {"log_lines_left_out_total", "Log lines left out to bound their volume.",
              number(m_log.droppedLineCount())},
         };
@@ -397,6 +420,8 @@
              number(m_fleet.crashGuard().suspectedRequests())},
             {"rate_limited_servers", "Servers that limit the rate of requests.",
              number(m_fleet.rateLimitedServers())},
+            {"cold_servers", "Servers that are cold, of services that limit what those get.",
+             number(m_fleet.coldServers())},
             {"active_calls", "Requests under way.", number(m_gateway.activeCalls())},
             {"evacuated_data_centres", "Data centres whose servers get no requests.",
              number(m_fleet.evacuatedDataCentres())},
--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -3,7 +3,9 @@
 #include <oleander/decisions/request/RateLimit.h>
 #include <oleander/decisions/request/ServerRoom.h>
 #include <oleander/gateway/Attempt.h>
+#include <oleander/gateway/ColdState.h>
 #include <oleander/gateway/GatewayPolicy.h>
+#include <oleander/gateway/HealthProbe.h>
 #include <oleander/gateway/ServerDirectory.h>
 #include <oleander/gateway/ServerLink.h>
 #include <oleander/gateway/ServerScore.h>
@@ -24,6 +26,8 @@
     EventLog &log;
     const GatewayPolicy &policy;
     CrashGuard &crashes;
+    /// Requests sent to cold servers with a limit.
+    std::uint64_t &coldRequests;
 };
 
 /// The connections to one server, the attempts that wait for a connection, and the health
@@ -59,6 +63,12 @@
     /// has turned one away.
     [[nodiscard]] Duration untilAccepting() const;
     [[nodiscard]] bool isRateLimited() const { return m_rateLimit.has_value(); }
+    /// True while the server is cold and its service limits what cold servers get.
+    [[nodiscard]] bool isCold() const { return m_cold.isCold(m_context.timer.now()); }
+    /// Part of its usual requests that the server gets: 0 while it is cold, then rising to 1.
+    [[nodiscard]] double usualShare() const { return m_cold.usualShare(m_context.timer.now()); }
+    /// Whether this instance should ask the server whether it is cold.
+    [[nodiscard]] bool isHealthProbeDue() const;
 
     // Updates
     void update(ServerRegistration registration);
@@ -71,6 +81,15 @@
     /// Sets the number of instances that share a rate limit of the server, and the share of a
     /// request, from 0 to 1, that this one may send at the start of a limit.
     void setRateSharing(int instances, double initialTokens);
+    /// Sets what the service declares of its cold servers, and this instance's part in the
+    /// allowance of this one.
+    void setColdStart(const ColdStartRules &rules, const ColdStartShare &share,
+                      double initialTokens);
+    /// Called when something happened after which servers of services with a limit are cold.
+    /// Requests that were not sent move to other servers.
+    void assumeCold(const char *cause);
+    /// Asks the server at its health path for the rest of its cold time.
+    void probeHealth(const std::string &path);
     /// Called when the evacuation of the server's data centre begins or ends. Requests that were
     /// not sent move to other servers.
     void setEvacuated(bool isEvacuated);
@@ -97,6 +116,8 @@
 
     void openConnection();
     void sendWaiting();
+    /// Called when a connection sends a request.
+    void noteSent(TimePoint now);
     Connection *idleConnection(const Attempt &attempt);
     void openConnectionIfNeeded();
     void expireWaiting();
@@ -116,6 +137,10 @@
     void noteRateLimit(const AttemptResult &result);
     void noteLeaving();
     void noteTurnedAway(Duration retryAfter);
+    /// Takes a statement of the server about its cold time.
+    void noteWarmUp(Duration left, TimePoint statedAt);
+    /// Logs and acts on a change of the cold state.
+    void onColdStateChanged(bool wasCold, const char *cause);
     /// Removes the connection from the list and returns it, or null if it is no longer listed.
     std::unique_ptr<Connection> detach(Connection &connection);
 
@@ -131,6 +156,12 @@
     std::optional<RateLimit> m_rateLimit;
     /// Until this time the server wants no requests of this instance.
     TimePoint m_turnedAwayUntil{};
+    ColdState m_cold;
+    /// A connection was lost; the server may be another process when the next one opens.
+    bool m_isConnectionLost = false;
+    bool m_isColdLogged = false;
+    std::unique_ptr<HealthProbe> m_probe;
+    TimePoint m_nextProbe{};
     bool m_isRetired = false;
     bool m_isEvacuated = false;
     /// An answer has said that the server is leaving. Like the next, reset by a registration with a
--- a/modules/gateway/include/oleander/gateway/GatherDelegation.h
+++ b/modules/gateway/include/oleander/gateway/GatherDelegation.h
@@ -54,6 +54,8 @@
     /// True when requests of the route are to be handed to a coordinator.
     [[nodiscard]] bool isActiveFor(const Route &route) const;
     [[nodiscard]] std::size_t coordinators() const { return m_active.size(); }
+    /// The elected coordinators, whether they are in use or not; sorted by id.
+    [[nodiscard]] const std::vector<Instance> &known() const { return m_directory.known(); }
     [[nodiscard]] bool isCoordinator() const { return m_isCoordinator; }
     [[nodiscard]] const InstanceId &self() const { return m_self; }
 
--- a/modules/gateway/include/oleander/gateway/ServerFleet.h
+++ b/modules/gateway/include/oleander/gateway/ServerFleet.h
@@ -18,6 +18,8 @@
 {
     ServiceId id;
     int connectionCap = 0;
+    ColdStartRules coldStart;
+    std::string healthPath;
     ExtraBudget extraBudget;
     std::vector<BackendServer *> servers;
     /// Servers to which this instance keeps connections. The others are used only when none of
@@ -70,6 +72,11 @@
     /// Sets how shards are shared. Connections follow.
     void setShardSharing(const ShardSharing &sharing);
 
+    /// Sets the instances of which some may send to a cold server while not all can. All instances
+    /// must be given the same ones; without any, cold servers with a limit get no requests in a
+    /// large fleet.
+    void setColdSenders(const InstanceId &self, std::vector<InstanceId> candidates);
+
     // Shards
     /// Data centres that have at least half as many servers of shards as the one with the most,
     /// except evacuated ones.
@@ -91,6 +98,12 @@
     [[nodiscard]] std::size_t connections() const;
     /// Number of servers that limit the rate of requests.
     [[nodiscard]] std::size_t rateLimitedServers() const;
+    /// Number of cold servers whose services limit what they get.
+    [[nodiscard]] std::size_t coldServers() const;
+    /// Requests sent to such servers, and the times that a request found no other server while they
+    /// had no allowance left.
+    [[nodiscard]] std::uint64_t coldRequests() const { return m_coldRequests; }
+    [[nodiscard]] std::uint64_t heldBackRequests() const { return m_heldBackRequests; }
     [[nodiscard]] std::size_t evacuatedDataCentres() const { return m_evacuated.size(); }
     [[nodiscard]] CrashGuard &crashGuard() { return m_crashGuard; }
     [[nodiscard]] const CrashGuard &crashGuard() const { return m_crashGuard; }
@@ -105,6 +118,13 @@
 
 private:
     void maintainConnections();
+    /// Assumes that servers are cold after a time in which this process did not run: it may have
+    /// missed that they started anew.
+    void checkForPause();
+    void probeColdServers();
+    void assignColdStart(const ServicePool &pool, BackendServer &server, double initialTokens);
+    BackendServer *chooseAmongAll(ServicePool &pool, const std::vector<BackendServer *> &excluded,
+                                  Duration usualLatency);
     void queueWarmUp(const ServerId &server);
     void warmUpNext();
     /// Reassigns connections. Must be called when the pool's servers, the connection cap or the
@@ -122,6 +142,8 @@
                     const std::vector<BackendServer *> &excluded, Duration usualLatency) const;
 
     CrashGuard m_crashGuard;
+    std::uint64_t m_coldRequests = 0;
+    std::uint64_t m_heldBackRequests = 0;
     ServerContext m_context;
     RandomSource &m_random;
     const GatewayPolicy &m_policy;
@@ -137,6 +159,10 @@
     std::vector<ServerId> m_warmUpQueue;
     ShardSharing m_shardSharing;
     std::set<DataCentreId> m_evacuated;
+    InstanceId m_self;
+    std::vector<InstanceId> m_coldSenders;
+    /// When this process was last seen to run.
+    TimePoint m_lastRun{};
     Subscription m_maintenanceTimer;
     Subscription m_warmUpTimer;
     /// Ends the time after the first configuration in which shards get no connections ahead.
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -27,6 +27,7 @@
         m_isUnused = false;
         attempt->isSent = true;
         attempt->sentAt = now;
+        m_owner.noteSent(now);
         m_link->send({attempt->request, m_owner.m_registration.id, attempt->deadline - now});
     }
 
@@ -94,6 +95,9 @@
 
 /// Connection attempts that take longer are considered failed.
 constexpr Duration connectTimeout = milliseconds(700);
+/// Age of what a registration says when it arrives here: a heartbeat, a watch of an instance that
+/// reads for others, and its way from there.
+constexpr Duration registrationAge = seconds(3);
 
 } // namespace
 
@@ -103,7 +107,9 @@
     , m_idleLimit(context.policy.idleLimit)
     , m_rateSharers(context.policy.instances.value_or(assumedSharers))
 {
-    m_score.warmUpUntil = m_context.timer.now() + m_registration.warmUpLeft;
+    const TimePoint now = m_context.timer.now();
+    m_score.warmUpUntil = now + m_registration.warmUpLeft;
+    m_cold.onStated(m_registration.warmUpLeft, now, now);
 }
 
 BackendServer::~BackendServer() = default;
@@ -161,7 +167,7 @@
 {
     // Load reports are slightly outdated, so a short reported queue is probably empty by now.
     constexpr double shortQueue = 0.5;
-    return !m_rateLimit && untilAccepting() == Duration{} && inFlight() == 0
+    return !m_rateLimit && !isCold() && untilAccepting() == Duration{} && inFlight() == 0
            && reportedQueue(m_score, m_context.timer.now()) <= shortQueue;
 }
 
@@ -169,7 +175,9 @@
 {
     const TimePoint now = m_context.timer.now();
     const Duration untilRate = m_rateLimit ? untilToken(*m_rateLimit, now) : Duration{};
-    return std::max({Duration{}, untilRate, m_turnedAwayUntil - now});
+    const Duration untilCold =
+        m_cold.untilAccepting(inFlight(), static_cast<int>(m_waiting.size()), now);
+    return std::max({Duration{}, untilRate, untilCold, m_turnedAwayUntil - now});
 }
 
 void BackendServer::setRateSharing(int instances, double initialTokens)
@@ -199,20 +207,106 @@
         // They lead to the process before.
         std::erase_if(m_connections, [](const auto &connection) { return !connection->current(); });
     }
+    const TimePoint now = m_context.timer.now();
+    if (!isRestarted)
+        noteWarmUp(m_registration.warmUpLeft, now - registrationAge);
+    else if (m_registration.warmUpLeft > Duration{})
+        noteWarmUp(m_registration.warmUpLeft, now);
+    else
+        assumeCold("new start");
     if (isRestarted || !isUsable())
         failWaiting();
 }
 
 void BackendServer::setEvacuated(bool isEvacuated)
 {
+    const bool hasEnded = m_isEvacuated && !isEvacuated;
     m_isEvacuated = isEvacuated;
     if (isEvacuated)
         failWaiting();
+    if (hasEnded)
+        assumeCold("evacuation ended");
+}
+
+void BackendServer::setColdStart(const ColdStartRules &rules, const ColdStartShare &share,
+                                 double initialTokens)
+{
+    const bool wasCold = isCold();
+    const TimePoint now = m_context.timer.now();
+    m_cold.configure(rules, share, initialTokens, now);
+    // The time was long while the number of instances was not known.
+    m_nextProbe = std::min(m_nextProbe, now + share.probePeriod);
+    onColdStateChanged(wasCold, "configuration");
+}
+
+void BackendServer::assumeCold(const char *cause)
+{
+    const bool wasCold = isCold();
+    const TimePoint now = m_context.timer.now();
+    m_cold.assume(now);
+    // What is under way was asked before.
+    m_probe.reset();
+    onColdStateChanged(wasCold, cause);
+}
+
+void BackendServer::noteWarmUp(Duration left, TimePoint statedAt)
+{
+    const bool wasCold = isCold();
+    m_cold.onStated(left, statedAt, m_context.timer.now());
+    onColdStateChanged(wasCold, "the server has stated it");
+}
+
+void BackendServer::onColdStateChanged(bool wasCold, const char *cause)
+{
+    const TimePoint now = m_context.timer.now();
+    if (!isCold() || wasCold)
+        return;
+    // Instances that learn of it together do not ask together.
+    m_nextProbe = now
+                  + Duration(static_cast<std::int64_t>(
+                      m_initialTokens * static_cast<double>(m_cold.share().probePeriod.count())));
+    m_isColdLogged = true;
+    m_context.log.record(EventId::ServerCold, {},
+                         {{"server", m_registration.id.text()},
+                          {"service", m_registration.service.text()},
+                          {"cause", cause},
+                          {"isAssumed", m_cold.isAssumed(now)},
+                          {"forMs", inMilliseconds(m_cold.timeLeft(now))},
+                          {"senders", m_cold.share().senders}});
+    failWaiting();
+}
+
+void BackendServer::noteSent(TimePoint now)
+{
+    if (!m_cold.isCold(now))
+        return;
+    m_cold.onSent(now);
+    ++m_context.coldRequests;
+}
+
+bool BackendServer::isHealthProbeDue() const
+{
+    const TimePoint now = m_context.timer.now();
+    return m_cold.isAssumed(now) && now >= m_nextProbe && !m_probe && isUsable() && !isEjected();
+}
+
+void BackendServer::probeHealth(const std::string &path)
+{
+    const TimePoint askedAt = m_context.timer.now();
+    m_nextProbe = askedAt + m_cold.share().probePeriod;
+    m_probe =
+        std::make_unique<HealthProbe>(m_context.links, m_context.timer, m_registration, path,
+                                      [this, askedAt](const std::optional<ServerReply> &reply) {
+                                          const auto ended = std::move(m_probe);
+                                          if (reply && reply->warmUpLeft && !reply->isMisdirected)
+                                              noteWarmUp(*reply->warmUpLeft, askedAt);
+                                      });
 }
 
 void BackendServer::retire()
 {
     m_isRetired = true;
+    m_probe.reset();
     failWaiting();
     onChecked(false);
     std::erase_if(m_connections, [](const auto &connection) { return !connection->current(); });
@@ -267,6 +361,12 @@
 void BackendServer::maintainConnections()
 {
     const TimePoint now = m_context.timer.now();
+    if (m_isColdLogged && !m_cold.isCold(now)) {
+        m_isColdLogged = false;
+        m_context.log.record(
+            EventId::ServerWarm, {},
+            {{"server", m_registration.id.text()}, {"service", m_registration.service.text()}});
+    }
     std::vector<Connection *> unresponsive;
     std::vector<Connection *> unopened;
     std::erase_if(m_connections, [&](const auto &connection) {
@@ -367,6 +467,12 @@
         Connection *idle = idleConnection(*next);
         if (!idle)
             break;
+        // The share may have become smaller since the request was submitted.
+        const int sent = inFlight() - static_cast<int>(m_waiting.size());
+        if (m_cold.untilAccepting(sent, 0, now) > Duration{}) {
+            failWaiting();
+            return;
+        }
         m_waiting.pop_front();
         idle->send(next);
     }
@@ -376,6 +482,8 @@
 void BackendServer::onOpened(const Connection &connection)
 {
     noteConnected(m_score);
+    if (std::exchange(m_isConnectionLost, false))
+        assumeCold("new connection after a loss");
     if (connection.openedAt() >= m_lastClosedAt)
         onChecked(false);
     sendWaiting();
@@ -401,6 +509,13 @@
     if (!closed)
         return;
     const AttemptPtr attempt = closed->takeCurrent();
+    const bool isAnyOpen =
+        std::ranges::any_of(m_connections, [](const auto &other) { return other->isOpen(); });
+    // A process that has ended closes all its connections. A server may close a single idle one.
+    if (attempt || !isAnyOpen)
+        m_isConnectionLost = true;
+    if (attempt)
+        assumeCold("connection lost");
     if (attempt) {
         m_context.log.record(EventId::ServerConnectionLost, attempt->request->id,
                              {{"server", m_registration.id.text()},
@@ -485,6 +600,8 @@
     if (result.reply.load)
         noteLoad(m_score, *result.reply.load, now);
     noteRateLimit(result);
+    if (result.reply.warmUpLeft && !result.reply.isMisdirected)
+        noteWarmUp(*result.reply.warmUpLeft, attempt.sentAt);
     if (result.reply.isLeaving && !result.reply.isMisdirected)
         noteLeaving();
     if (result.reply.retryAfter && !result.reply.isMisdirected)
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -32,6 +32,12 @@
 /// Share of a shard's connections and extra attempts for the coordinators. The others need the rest
 /// while no coordinator can be reached.
 constexpr double coordinatorShare = 0.85;
+/// A process that has not run for this long may have missed that servers became cold. What an
+/// instance that runs knows from the registry may be as old.
+constexpr Duration pauseLimit = seconds(3);
+/// Health probes that one instance begins in a period of maintenance. Those of a data centre with
+/// 90 servers, after its evacuation, take a second and a half.
+constexpr std::size_t probesPerPeriod = 16;
 
 } // namespace
 
@@ -56,12 +62,13 @@
 ServerFleet::ServerFleet(ServerLinkFactory &links, TimerService &timer, RandomSource &random,
                          EventLog &log, const GatewayPolicy &policy, DataCentreId dataCentre)
     : m_crashGuard(timer, log, policy.crashes)
-    , m_context{links, timer, log, policy, m_crashGuard}
+    , m_context{links, timer, log, policy, m_crashGuard, m_coldRequests}
     , m_random(random)
     , m_policy(policy)
     , m_dataCentre(std::move(dataCentre))
     , m_processStart(timer.now())
     , m_rankSeed(random.next())
+    , m_lastRun(timer.now())
     , m_maintenanceTimer(
           timer.callEvery(maintenancePeriod, [this](const TimerTick &) { maintainConnections(); }))
 {
@@ -127,6 +134,8 @@
     for (const ServiceDeclaration &service : configuration.services) {
         ServicePool &newPool = pool(service.id);
         newPool.connectionCap = service.connectionCap;
+        newPool.coldStart = {service.warmUp, service.warmUpPerSecond};
+        newPool.healthPath = service.healthPath;
         assignPreferredServers(newPool);
     }
 }
@@ -147,6 +156,28 @@
         server->setEvacuated(m_evacuated.contains(server->registration().dataCentre));
 }
 
+void ServerFleet::setColdSenders(const InstanceId &self, std::vector<InstanceId> candidates)
+{
+    if (self == m_self && candidates == m_coldSenders)
+        return;
+    m_self = self;
+    m_coldSenders = std::move(candidates);
+    for (const auto &[id, pool] : m_pools) {
+        if (pool->coldStart.hasLimit())
+            assignPreferredServers(*pool);
+    }
+}
+
+void ServerFleet::assignColdStart(const ServicePool &pool, BackendServer &server,
+                                  double initialTokens)
+{
+    const auto share =
+        pool.coldStart.hasLimit() ? coldStartShare(
+            pool.coldStart, {m_self, m_policy.instances, m_coldSenders}, server.registration().id)
+                                  : ColdStartShare{};
+    server.setColdStart(pool.coldStart, share, initialTokens);
+}
+
 void ServerFleet::onInstanceCountChanged()
 {
     for (const auto &[id, pool] : m_pools)
@@ -201,7 +232,7 @@
     const TimePoint now = m_context.timer.now();
     return std::ranges::any_of(pool.servers, [&](const BackendServer *server) {
         if (server->registration().dataCentre != m_dataCentre || !server->isUsable()
-            || server->isEjected() || server->untilAccepting() > Duration{})
+            || server->isEjected() || server->isCold() || server->untilAccepting() > Duration{})
             return false;
         const auto oldest = server->oldestSendTime();
         const bool isStalled = oldest && now - *oldest > stalledLatencies * usualLatency;
@@ -235,6 +266,7 @@
         server->setConnectionLimits(connectionLimit(pool),
                                     keepsIdle ? m_policy.idleLimit : m_policy.onDemandIdleLimit);
         server->setRateSharing(sharers(pool).value_or(assumedSharers), unitInterval(rank << 1));
+        assignColdStart(pool, *server, unitInterval(rank << 1));
         if (pool.preferred.size() == preferred)
             continue;
         pool.preferred.push_back(server);
@@ -266,6 +298,34 @@
 
 BackendServer *ServerFleet::choose(ServicePool &pool, const std::vector<BackendServer *> &excluded,
                                    Duration usualLatency)
+{
+    if (!pool.coldStart.hasLimit())
+        return chooseAmongAll(pool, excluded, usualLatency);
+    checkForPause();
+    // First servers that get their usual requests, or that part of them which their time since the
+    // cold time allows; then all warm ones; then cold ones.
+    for (const double lowestShare : {unitInterval(m_random.next()), 0.0}) {
+        std::vector<BackendServer *> avoided = excluded;
+        std::ranges::copy_if(pool.servers, std::back_inserter(avoided),
+                             [lowestShare](const BackendServer *server) {
+                                 return server->usualShare() <= lowestShare;
+                             });
+        if (BackendServer *warm = chooseAmongAll(pool, avoided, usualLatency))
+            return warm;
+    }
+    BackendServer *chosen = chooseAmongAll(pool, excluded, usualLatency);
+    const bool isHeldBack =
+        !chosen && std::ranges::any_of(pool.servers, [&excluded](const BackendServer *server) {
+            return server->isUsable() && server->isCold()
+                   && std::ranges::find(excluded, server) == excluded.end();
+        });
+    m_heldBackRequests += isHeldBack ? 1 : 0;
+    return chosen;
+}
+
+BackendServer *ServerFleet::chooseAmongAll(ServicePool &pool,
+                                           const std::vector<BackendServer *> &excluded,
+                                           Duration usualLatency)
 {
     const std::vector<BackendServer *> *source = &pool.preferred;
     auto candidates = candidatesAmong(*source, excluded, usualLatency);
@@ -314,6 +374,12 @@
         m_servers, [](const auto &entry) { return entry.second->isRateLimited(); }));
 }
 
+std::size_t ServerFleet::coldServers() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_servers, [](const auto &entry) { return entry.second->isCold(); }));
+}
+
 bool ServerFleet::takeExtra(ServicePool &pool, ExtraAttemptKind kind)
 {
     return pool.extraBudget.takeExtra(extraRules(pool), kind, m_context.timer.now());
@@ -342,8 +408,42 @@
     return static_cast<int>(m_shardSharing.coordinators / coordinatorShare) + 1;
 }
 
+void ServerFleet::checkForPause()
+{
+    const TimePoint now = m_context.timer.now();
+    if (now - m_lastRun <= pauseLimit)
+        return;
+    m_lastRun = now;
+    for (const auto &[id, pool] : m_pools) {
+        for (BackendServer *server : pool->servers)
+            server->assumeCold("this instance was paused");
+    }
+}
+
+void ServerFleet::probeColdServers()
+{
+    std::vector<std::pair<BackendServer *, const std::string *>> due;
+    for (const auto &[id, pool] : m_pools) {
+        if (!pool->coldStart.hasLimit() || pool->healthPath.empty())
+            continue;
+        for (BackendServer *server : pool->servers) {
+            if (server->isHealthProbeDue())
+                due.emplace_back(server, &pool->healthPath);
+        }
+    }
+    for (std::size_t count = 0; count < probesPerPeriod && !due.empty(); ++count) {
+        std::swap(due[m_random.below(due.size())], due.back());
+        const auto [server, path] = due.back();
+        due.pop_back();
+        server->probeHealth(*path);
+    }
+}
+
 void ServerFleet::maintainConnections()
 {
+    checkForPause();
+    m_lastRun = m_context.timer.now();
+    probeColdServers();
     for (const auto &[id, server] : m_servers)
         server->maintainConnections();
     for (const auto &server : m_retired)
--- a/modules/gateway/tests/ServerFleetTest.cpp
+++ b/modules/gateway/tests/ServerFleetTest.cpp
@@ -266,6 +266,20 @@
     expectWaitingRequestsToMove("/once/x", [] {});
 }
 
+// Guards against a queue that reaches a server after it has become cold.
+TEST_F(WaitingRequestsTest, MoveWhenTheServerBecomesCold)
+{
+    GatewayConfiguration configuration = testConfiguration(shardCount, 2);
+    for (ServiceDeclaration &service : configuration.services)
+        service.warmUpPerSecond = 10;
+    instance.gateway.configure(configuration);
+    expectWaitingRequestsToMove("/once/x", [this] {
+        ServerRegistration cold = registrationOf(shardCount, 0);
+        cold.warmUpLeft = seconds(10);
+        instance.fleet.onRegistration(cold.id, &cold);
+    });
+}
+
 TEST_F(WaitingRequestsTest, MoveWhenTheServerIsGone)
 {
     expectWaitingRequestsToMove("/once/x", [this] {
--- a/modules/gateway/tests/support/SimulatedServers.cpp
+++ b/modules/gateway/tests/support/SimulatedServers.cpp
@@ -168,11 +168,24 @@
     return *server;
 }
 
+void SimulatedServers::replyHealth(Server &server, const std::shared_ptr<Work> &work)
+{
+    ++server.counters.healthRequests;
+    ServerReply health;
+    health.status = 200;
+    health.warmUpLeft = std::max(Duration{}, server.behaviour.coldUntil - m_scheduler.now());
+    reply(work, std::move(health));
+}
+
 void SimulatedServers::receive(Server &server, const std::shared_ptr<Work> &work)
 {
     const ServerBehaviour &behaviour = server.behaviour;
     if (behaviour.isUnresponsive || behaviour.isDown || !work->link->listener)
         return;
+    if (work->request->target == healthPath) {
+        replyHealth(server, work);
+        return;
+    }
     ++server.counters.arrived;
     server.counters.arrivalTimes.push_back(m_scheduler.now());
     if (!work->link->carriedIds.insert(work->request->id.text()).second)
--- a/modules/gateway/tests/support/SimulatedServers.h
+++ b/modules/gateway/tests/support/SimulatedServers.h
@@ -38,6 +38,8 @@
     bool isLeaving = false;
     /// The rate of requests that the server states in its replies.
     std::optional<double> rateLimit;
+    /// Until this time the server states that it is cold, at its health path.
+    TimePoint coldUntil{};
     /// Maximum number of open connections; further ones are refused.
     int connectionCap = 1'000'000;
     /// Refuses connections and drops all requests.
@@ -62,12 +64,16 @@
     int connections = 0;
     /// Connections refused because of the connection cap.
     int connectionsRefused = 0;
+    /// Requests to the health path; not counted elsewhere.
+    int healthRequests = 0;
     std::vector<std::string> executedIds;
     std::vector<TimePoint> arrivalTimes;
     /// Requests that came again on the connection that had carried them before.
     int repeatedOnConnection = 0;
 };
 
+constexpr const char *healthPath = "/health";
+
 /// Backend servers in virtual time, reached over links with a fixed network delay.
 class SimulatedServers final : public ServerLinkFactory
 {
@@ -118,6 +124,7 @@
     struct Work;
 
     Server &serverAt(const Address &address);
+    void replyHealth(Server &server, const std::shared_ptr<Work> &work);
     void receive(Server &server, const std::shared_ptr<Work> &work);
     void startQueuedWork(Server &server);
     void crashUnder(Server &server, const std::shared_ptr<Work> &work);
