Requests stay in the home regions of their route

Change: isInHomeRegions() decides which data centres belong to a region; ServiceCall excludes the servers of others from first attempts, retries and hedges, and ends at once when no server is left. A gathered route with home regions is not delegated, since coordinators of the previous release would ignore them. Routes without regions are unaffected.

Also: the cold state is asked for in-flight requests only while a server is cold, so that services without a limit pay nothing for it; a test of unanswered health probes; the test of a cold server beside warm ones measures latencies first, since it passed almost by the slowness of an unknown server.

--- a/modules/gateway/include/oleander/gateway/Route.h
+++ b/modules/gateway/include/oleander/gateway/Route.h
@@ -44,6 +44,8 @@
     std::size_t recordLimit = 0;
     /// Minimum share of the shards, from 0 to 1, that an answer requires.
     double minimumShare = 1.0;
+    /// Regions whose servers may get the requests; all if empty.
+    std::vector<std::string> homeRegions{};
 
     [[nodiscard]] bool isGathered() const { return !shards.empty(); }
 };
--- a/modules/gateway/include/oleander/gateway/ServiceCall.h
+++ b/modules/gateway/include/oleander/gateway/ServiceCall.h
@@ -21,6 +21,8 @@
     Idempotency idempotency = Idempotency::NonIdempotent;
     int priority = 0;
     int maximumAttempts = 1;
+    /// Regions whose servers may get the request; all if empty.
+    std::vector<std::string> homeRegions{};
     /// True when another instance may have sent the request already, so that the first attempt is
     /// an extra one too.
     bool isRerun = false;
@@ -95,7 +97,9 @@
     /// Sends again as soon as it is known whether the request crashes servers.
     void awaitVerdict();
     [[nodiscard]] bool maySend() const;
-    /// Servers that must not get the request: those that have it now, and once `maximumAttempts`
+    [[nodiscard]] bool hasUsableServer() const;
+    /// Servers that must not get the request: those outside its home regions, those that have it
+    /// now, and once `maximumAttempts`
     /// servers may have executed it, all servers except those.
     [[nodiscard]] std::vector<BackendServer *> excludedServers(bool mayReuseTried) const;
     void finish();
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -176,7 +176,9 @@
     const TimePoint now = m_context.timer.now();
     const Duration untilRate = m_rateLimit ? untilToken(*m_rateLimit, now) : Duration{};
     const Duration untilCold =
-        m_cold.untilAccepting(inFlight(), static_cast<int>(m_waiting.size()), now);
+        m_cold.isCold(now)
+            ? m_cold.untilAccepting(inFlight(), static_cast<int>(m_waiting.size()), now)
+            : Duration{};
     return std::max({Duration{}, untilRate, untilCold, m_turnedAwayUntil - now});
 }
 
@@ -468,8 +470,9 @@
         if (!idle)
             break;
         // The share may have become smaller since the request was submitted.
-        const int sent = inFlight() - static_cast<int>(m_waiting.size());
-        if (m_cold.untilAccepting(sent, 0, now) > Duration{}) {
+        if (m_cold.isCold(now)
+            && m_cold.untilAccepting(inFlight() - static_cast<int>(m_waiting.size()), 0, now)
+                   > Duration{}) {
             failWaiting();
             return;
         }
--- a/modules/gateway/src/CallBase.cpp
+++ b/modules/gateway/src/CallBase.cpp
@@ -167,6 +167,7 @@
     plan.idempotency = m_route.idempotency;
     plan.priority = m_route.priority;
     plan.maximumAttempts = m_terms.isRerun ? 1 : m_route.maximumAttempts;
+    plan.homeRegions = m_route.homeRegions;
     plan.isRerun = m_terms.isRerun;
     plan.deadline = m_deadline;
     plan.answerBy = answerBy();
--- a/modules/gateway/src/GatherCall.cpp
+++ b/modules/gateway/src/GatherCall.cpp
@@ -95,7 +95,7 @@
     GatherDelegation *const delegation = m_gateway.m_delegation;
     // A rerun may ask each shard once only, which a further coordinator that fails could exceed.
     if (!delegation || !delegation->isCoordinator() || terms().isRerun
-        || m_route.maximumAttempts < 2)
+        || m_route.maximumAttempts < 2 || !m_route.homeRegions.empty())
         return shards;
     std::vector<std::pair<Instance, std::vector<std::size_t>>> groups;
     for (const DataCentreId &dataCentre : delegation->otherDataCentres()) {
--- a/modules/gateway/src/GatherDelegation.cpp
+++ b/modules/gateway/src/GatherDelegation.cpp
@@ -109,7 +109,9 @@
 
 bool GatherDelegation::isActiveFor(const Route &route) const
 {
-    return !m_active.empty() && !m_isCoordinator && route.idempotency == Idempotency::Idempotent;
+    // The rules that are sent to coordinators do not contain home regions.
+    return !m_active.empty() && !m_isCoordinator && route.homeRegions.empty()
+           && route.idempotency == Idempotency::Idempotent;
 }
 
 std::optional<Instance> GatherDelegation::choose(const std::vector<InstanceId> &excluded) const
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -1,3 +1,4 @@
+#include <oleander/decisions/request/HomeRegions.h>
 #include <oleander/gateway/HttpStatus.h>
 #include <oleander/gateway/ServiceCall.h>
 
@@ -87,9 +88,24 @@
     }
     if (!mayReuseTried)
         std::ranges::copy(m_triedServers, std::back_inserter(excluded));
+    if (!m_plan.homeRegions.empty()) {
+        std::ranges::copy_if(m_plan.pool->servers, std::back_inserter(excluded),
+                             [this](const BackendServer *server) {
+                                 return !isInHomeRegions(m_plan.homeRegions,
+                                                         server->registration().dataCentre);
+                             });
+    }
     return excluded;
 }
 
+bool ServiceCall::hasUsableServer() const
+{
+    return std::ranges::any_of(m_plan.pool->servers, [this](const BackendServer *server) {
+        return server->isUsable()
+               && isInHomeRegions(m_plan.homeRegions, server->registration().dataCentre);
+    });
+}
+
 bool ServiceCall::sendNext(bool mayReuseTried)
 {
     if (!maySend())
@@ -245,7 +261,7 @@
     const Duration wait =
         std::max(backoffDelay(++m_retries, m_plan.retryDelays, m_fleet.drawRandom()),
                  m_plan.pool->untilAccepting());
-    if (isRefused || !m_plan.pool->hasUsableServer() || m_timer.now() + wait > m_plan.retryUntil) {
+    if (isRefused || !hasUsableServer() || m_timer.now() + wait > m_plan.retryUntil) {
         finish();
         return;
     }
--- a/modules/gateway/tests/ColdServerTest.cpp
+++ b/modules/gateway/tests/ColdServerTest.cpp
@@ -107,9 +107,13 @@
 TEST_F(ColdServerTest, GetsNoRequestThatAWarmServerCanTake)
 {
     start(4);
+    sendFor(seconds(1));
+    scheduler.runFor(milliseconds(100));
     makeCold(0, seconds(20));
+    const int before = arrived(0);
+    ASSERT_GT(before, 10);
     sendFor(seconds(3));
-    EXPECT_EQ(arrived(0), 0);
+    EXPECT_EQ(arrived(0), before);
     for (const auto &answer : received) {
         if (answer->answer) {
             EXPECT_EQ(answer->answer->status, 200);
@@ -185,6 +189,21 @@
     EXPECT_EQ(instances.front()->log.count(EventId::ServerWarm), 2U);
 }
 
+// Guards against an assumption without end when health probes get no reply.
+TEST_F(ColdServerTest, AssumptionEndsWithoutAReplyAfterTheWarmUpTime)
+{
+    start(4);
+    servers.behaviour(addressOf(0, 0)).isUnresponsive = true;
+    for (const auto &instance : instances)
+        instance->fleet.setEvacuated({DataCentreId("dc-0")});
+    for (const auto &instance : instances)
+        instance->fleet.setEvacuated({});
+    scheduler.runFor(seconds(19));
+    EXPECT_EQ(instances.front()->fleet.coldServers(), 1U);
+    scheduler.runFor(seconds(2));
+    EXPECT_EQ(instances.front()->fleet.coldServers(), 0U);
+}
+
 // Guards against the full load on a server that crashed and came back before its registration.
 TEST_F(ColdServerTest, IsAssumedWhenConnectionsWereLost)
 {
--- a/modules/gateway/tests/ServerFleetTest.cpp
+++ b/modules/gateway/tests/ServerFleetTest.cpp
@@ -107,6 +107,35 @@
     EXPECT_EQ(servers.counters(addressOf(shardCount, 1)).arrived, 0);
 }
 
+// Guards against requests, their retries and hedges that leave the home regions of their route
+// while its servers are slow, and against waiting for a server that may not get the request.
+TEST_F(ServerFleetTest, RequestsStayInTheHomeRegionsOfTheirRoute)
+{
+    ServerRegistration home = registrationOf(shardCount, 0);
+    home.dataCentre = DataCentreId("eu-a");
+    instance.fleet.onRegistration(home.id, &home);
+    GatewayConfiguration configuration = testConfiguration(shardCount, 2);
+    for (Route &route : configuration.routes)
+        route.homeRegions = {"eu"};
+    instance.gateway.configure(configuration);
+    instance.policy.extraAttempts.allowance = 1000;
+    servers.behaviour(addressOf(shardCount, 0)).slowdown = 50;
+    for (int number = 0; number < 20; ++number) {
+        instance.sendRequest("r" + std::to_string(number), "/one/x", seconds(15));
+        scheduler.runFor(milliseconds(300));
+    }
+    EXPECT_EQ(servers.counters(addressOf(shardCount, 0)).executed, 20);
+    instance.fleet.onRegistration(home.id, nullptr);
+    for (const char *path : {"/one/x", "/once/x", "/gather/x"}) {
+        const auto received = instance.sendRequest("r", path, seconds(15));
+        scheduler.runFor(milliseconds(10));
+        ASSERT_TRUE(received->answer) << path;
+        EXPECT_EQ(received->answer->status, 503) << path;
+    }
+    for (int service = 0; service <= shardCount; ++service)
+        EXPECT_EQ(servers.counters(addressOf(service, 1)).arrived, 0);
+}
+
 TEST_F(ServerFleetTest, ServerThatRefusesConnectionsIsEjectedAndNoRequestFails)
 {
     servers.crash(addressOf(shardCount, 0));
