--- a/modules/decisions/tests/request/ColdStartTest.cpp
+++ b/modules/decisions/tests/request/ColdStartTest.cpp
@@ -15,6 +15,7 @@
 std::vector<InstanceId> instanceIds(int count)
 {
     std::vector<InstanceId> ids;
+    ids.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number)
         ids.emplace_back("i-" + std::to_string(number));
     return ids;
