Gathered requests and health probes of cold servers are tested

Cause: the bound was tested with requests to single servers, and health probes with simulated servers only.

Change: 35 instances, 6 of them coordinators, send gathered requests to a shard whose servers are all cold; a probe reads a reply over a real connection that names no request.

--- a/modules/adapters/tests/gateway/ServerLinksTest.cpp
+++ b/modules/adapters/tests/gateway/ServerLinksTest.cpp
@@ -1,4 +1,6 @@
 #include <oleander/adapters/gateway/AsioServerLinks.h>
+#include <oleander/adapters/time/AsioTimerService.h>
+#include <oleander/gateway/HealthProbe.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -263,6 +265,24 @@
     }
 }
 
+// Guards against a health reply that is dropped because it names no request.
+TEST(ServerLinks, HealthProbeReadsTheColdTime)
+{
+    asio::io_context context;
+    AsioTimerService timer(context);
+    ClosingServer server(context, "HTTP/1.1 200 OK\r\nCold: 2500\r\nContent-Length: 2\r\n\r\nok");
+    AsioServerLinks links(context, headerNames());
+    gateway::ServerRegistration registration;
+    registration.id = ServerId("i-1");
+    registration.address = server.address();
+    std::optional<gateway::ServerReply> reply;
+    gateway::HealthProbe probe(links, timer, registration, "/health",
+                               [&reply](auto given) { reply = std::move(given); });
+    while (!reply)
+        ASSERT_GT(context.run_one_for(std::chrono::seconds(5)), 0U);
+    EXPECT_EQ(reply->warmUpLeft, milliseconds(2500));
+}
+
 // Guards against taking a reply whose server ended in the middle of it for a whole one, with an
 // empty or a short body.
 TEST(ServerLinks, ReplyThatIsCutBeforeItsEndIsNoReply)
--- a/modules/gateway/tests/ColdServerTest.cpp
+++ b/modules/gateway/tests/ColdServerTest.cpp
@@ -70,12 +70,12 @@
     }
 
     /// Each instance sends a request in each 50 milliseconds.
-    void sendFor(Duration time)
+    void sendFor(Duration time, const std::string &path = "/one/x")
     {
         for (const TimePoint end = scheduler.now() + time; scheduler.now() < end;) {
             for (const auto &instance : instances)
-                received.push_back(instance->sendRequest("r" + std::to_string(received.size()),
-                                                         "/one/x", seconds(5)));
+                received.push_back(
+                    instance->sendRequest("r" + std::to_string(received.size()), path, seconds(5)));
             scheduler.runFor(milliseconds(50));
         }
     }
@@ -140,6 +140,29 @@
     EXPECT_EQ(instances.front()->fleet.coldServers(), 3U);
 }
 
+// Guards against entries that send to shards beside the coordinators, and against gathered requests
+// that pass by the allowance.
+TEST_F(ColdServerTest, GatheredRequestsStayWithinTheBound)
+{
+    start(35);
+    configuration = testConfiguration(1, 2);
+    for (ServiceDeclaration &service : configuration.services) {
+        service.warmUp = seconds(20);
+        service.warmUpPerSecond = acceptedPerSecond;
+    }
+    for (std::size_t number = 0; number < instances.size(); ++number) {
+        instances[number]->gateway.configure(configuration);
+        instances[number]->fleet.setShardSharing({6, number < 6});
+    }
+    for (int server = 0; server < serverCount; ++server)
+        makeCold(server, seconds(20));
+    sendFor(seconds(5), "/gather/x");
+    for (int server = 0; server < serverCount; ++server) {
+        EXPECT_LE(mostInAnySecond(server), coldStartBound(acceptedPerSecond));
+        EXPECT_GE(arrived(server), 5 * 0.4 * acceptedPerSecond);
+    }
+}
+
 // Guards against instances that start while servers are cold and each take a share for few.
 TEST_F(ColdServerTest, RestartedFleetStaysWithinTheBound)
 {
