The time kept back for the way to a caller is measured

Cause: 16 ms of each objective were kept back for the way to the caller.

Change: the margin follows from the round trip that TCP has measured on the caller's connection (TCP_INFO), from how late timers of this process fire, and 3 ms of processing; at most the 16 ms of before, which also hold when the round trip is not known. A coordinator answers earlier by its own lateness.

--- a/modules/adapters/src/gateway/IngressSession.cpp
+++ b/modules/adapters/src/gateway/IngressSession.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace oleander {
@@ -28,6 +30,17 @@
 /// Callers that wait longer are taken to wait so long; larger numbers would overflow a duration.
 constexpr milliseconds longestCallerTimeout = std::chrono::hours(24);
 
+/// The round trip that TCP has measured on the connection, if the system states it.
+std::optional<Duration> roundTripOf(asio::ip::tcp::socket &socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    const int result = ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+    if (result != 0 || info.tcpi_rtt == 0)
+        return std::nullopt;
+    return microseconds(info.tcpi_rtt);
+}
+
 std::string_view viewOf(beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -214,6 +227,7 @@
     request->host = std::string(message[http::field::host]);
     request->fields = endToEndFields(message, excluded);
     request->callerTimeout = parseMilliseconds(viewOf(message[names.callerTimeout]));
+    request->callerRoundTrip = roundTripOf(m_socket);
     request->body = std::move(message.body());
     request->arrived = m_waitingSince;
     m_requestId = request->id;
--- a/modules/gateway/include/oleander/gateway/GatewayPolicy.h
+++ b/modules/gateway/include/oleander/gateway/GatewayPolicy.h
@@ -14,8 +14,6 @@
 /// Tuning parameters of the gateway, the same for the whole fleet.
 struct GatewayPolicy
 {
-    /// Time reserved within a route's objective for the network round trip to the caller.
-    Duration answerMargin = milliseconds(16);
     /// Time reserved before the caller's deadline so that the last possible answer arrives in time.
     Duration deadlineMargin = milliseconds(20);
     /// A request is hedged when it has taken longer than this quantile of the route's latencies.
--- a/modules/gateway/include/oleander/gateway/HttpMessage.h
+++ b/modules/gateway/include/oleander/gateway/HttpMessage.h
@@ -33,6 +33,8 @@
     std::string body;
     /// The caller's time limit, counted from `arrived`; nothing if not specified.
     std::optional<Duration> callerTimeout;
+    /// Round trip of the caller's connection, if it is known.
+    std::optional<Duration> callerRoundTrip;
     TimePoint arrived{};
 };
 
--- a/modules/gateway/include/oleander/gateway/ServerFleet.h
+++ b/modules/gateway/include/oleander/gateway/ServerFleet.h
@@ -92,6 +92,8 @@
     /// Number of servers that limit the rate of requests.
     [[nodiscard]] std::size_t rateLimitedServers() const;
     [[nodiscard]] std::size_t evacuatedDataCentres() const { return m_evacuated.size(); }
+    /// How late the timers of this process fire, at a high quantile.
+    [[nodiscard]] Duration wakeUpLateness() const;
     [[nodiscard]] CrashGuard &crashGuard() { return m_crashGuard; }
     [[nodiscard]] const CrashGuard &crashGuard() const { return m_crashGuard; }
     /// Takes one extra attempt from the service's budget; false when it is exhausted.
@@ -104,7 +106,7 @@
     }
 
 private:
-    void maintainConnections();
+    void maintainConnections(const TimerTick &tick);
     void queueWarmUp(const ServerId &server);
     void warmUpNext();
     /// Reassigns connections. Must be called when the pool's servers, the connection cap or the
@@ -137,6 +139,7 @@
     std::vector<ServerId> m_warmUpQueue;
     ShardSharing m_shardSharing;
     std::set<DataCentreId> m_evacuated;
+    LatencyWindow m_wakeUps;
     Subscription m_maintenanceTimer;
     Subscription m_warmUpTimer;
     /// Ends the time after the first configuration in which shards get no connections ahead.
--- a/modules/gateway/src/CallBase.cpp
+++ b/modules/gateway/src/CallBase.cpp
@@ -1,5 +1,6 @@
 #include "Calls.h"
 
+#include <oleander/decisions/request/AnswerMargin.h>
 #include <oleander/gateway/HttpStatus.h>
 
 #include <algorithm>
@@ -30,13 +31,14 @@
 }
 
 CallTerms callTerms(const CallerRequest &request, const RouteTablePtr &routes, const Route &route,
-                    const GatewayPolicy &policy)
+                    const GatewayPolicy &policy, Duration wakeUpLateness)
 {
     CallTerms terms;
     terms.route = {routes, &route};
     terms.configuration = routes->version();
     terms.deadline = requestDeadline(request, route, policy);
-    terms.answerBy = request.arrived + route.objective - policy.answerMargin;
+    terms.answerBy =
+        request.arrived + route.objective - answerMargin({request.callerRoundTrip, wakeUpLateness});
     return terms;
 }
 
--- a/modules/gateway/src/Calls.h
+++ b/modules/gateway/src/Calls.h
@@ -46,7 +46,8 @@
 
 /// The terms of a request that a caller sent to this instance.
 [[nodiscard]] CallTerms callTerms(const CallerRequest &request, const RouteTablePtr &routes,
-                                  const Route &route, const GatewayPolicy &policy);
+                                  const Route &route, const GatewayPolicy &policy,
+                                  Duration wakeUpLateness);
 
 /// Common base of all calls: manages the deadline, the single answer and the
 /// disconnection of the caller. A call keeps itself alive until it is answered or its requests are
--- a/modules/gateway/src/Gateway.cpp
+++ b/modules/gateway/src/Gateway.cpp
@@ -69,7 +69,7 @@
         });
         return nullptr;
     }
-    CallTerms terms = callTerms(*request, m_routes, *route, m_policy);
+    CallTerms terms = callTerms(*request, m_routes, *route, m_policy, m_fleet.wakeUpLateness());
     if (m_stopAt && m_timer.now() + route->objective > *m_stopAt) {
         ++m_counts.refused;
         m_log.record(EventId::QueryRefused, request->id,
@@ -103,8 +103,8 @@
         *this, coordinated.request,
         CallTerms{coordinated.route, version,
                   std::min(coordinated.deadline, m_stopAt.value_or(coordinated.deadline)),
-                  coordinated.answerBy, coordinated.isRerun, coordinated.shards,
-                  coordinated.minimumParts},
+                  coordinated.answerBy - m_fleet.wakeUpLateness(), coordinated.isRerun,
+                  coordinated.shards, coordinated.minimumParts},
         std::move(answer));
     call->start();
     return call;
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -29,6 +29,8 @@
 constexpr double soundSlowness = 2.5;
 constexpr double soundFailureRate = 0.3;
 constexpr int stalledLatencies = 3;
+/// A process that was suspended has fired timers much later; no answer can be sent so much earlier.
+constexpr Duration maximumLateness = milliseconds(8);
 /// Share of a shard's connections and extra attempts for the coordinators. The others need the rest
 /// while no coordinator can be reached.
 constexpr double coordinatorShare = 0.85;
@@ -62,8 +64,8 @@
     , m_dataCentre(std::move(dataCentre))
     , m_processStart(timer.now())
     , m_rankSeed(random.next())
-    , m_maintenanceTimer(
-          timer.callEvery(maintenancePeriod, [this](const TimerTick &) { maintainConnections(); }))
+    , m_maintenanceTimer(timer.callEvery(
+          maintenancePeriod, [this](const TimerTick &tick) { maintainConnections(tick); }))
 {
 }
 
@@ -342,8 +344,16 @@
     return static_cast<int>(m_shardSharing.coordinators / coordinatorShare) + 1;
 }
 
-void ServerFleet::maintainConnections()
+Duration ServerFleet::wakeUpLateness() const
 {
+    // Objectives are met when all but a few answers are sent in time.
+    constexpr PerMille latenessQuantile{980};
+    return std::min(maximumLateness, m_wakeUps.quantile(latenessQuantile, Duration{}));
+}
+
+void ServerFleet::maintainConnections(const TimerTick &tick)
+{
+    m_wakeUps.add(tick.lateness());
     for (const auto &[id, server] : m_servers)
         server->maintainConnections();
     for (const auto &server : m_retired)
