--- a/modules/gateway/include/oleander/gateway/ServerFleet.h
+++ b/modules/gateway/include/oleander/gateway/ServerFleet.h
@@ -105,6 +105,8 @@
     [[nodiscard]] std::uint64_t coldRequests() const { return m_coldRequests; }
     [[nodiscard]] std::uint64_t heldBackRequests() const { return m_heldBackRequests; }
     [[nodiscard]] std::size_t evacuatedDataCentres() const { return m_evacuated.size(); }
+    /// How late the timers of this process fire, at a high quantile.
+    [[nodiscard]] Duration wakeUpLateness() const;
     [[nodiscard]] CrashGuard &crashGuard() { return m_crashGuard; }
     [[nodiscard]] const CrashGuard &crashGuard() const { return m_crashGuard; }
     /// Takes one extra attempt from the service's budget; false when it is exhausted.
@@ -117,7 +119,6 @@
     }
 
 private:
-    void maintainConnections();
     /// Assumes that servers are cold after a time in which this process did not run: it may have
     /// missed that they started anew.
     void checkForPause();
@@ -125,6 +126,7 @@
     void assignColdStart(const ServicePool &pool, BackendServer &server, double initialTokens);
     BackendServer *chooseAmongAll(ServicePool &pool, const std::vector<BackendServer *> &excluded,
                                   Duration usualLatency);
+    void maintainConnections(const TimerTick &tick);
     void queueWarmUp(const ServerId &server);
     void warmUpNext();
     /// Reassigns connections. Must be called when the pool's servers, the connection cap or the
@@ -163,6 +165,7 @@
     std::vector<InstanceId> m_coldSenders;
     /// When this process was last seen to run.
     TimePoint m_lastRun{};
+    LatencyWindow m_wakeUps;
     Subscription m_maintenanceTimer;
     Subscription m_warmUpTimer;
     /// Ends the time after the first configuration in which shards get no connections ahead.
