Release builds pass a false alarm of GCC 12 in the list of services

Cause: with -O3, GCC 12 takes "..." + std::string&& for an overlapping copy (-Werror=restrict) and stopped at InstanceListParser.cpp:97. Change: the name is read once into a variable, which the expression refers to. Result: oleander_settings compiles with -DCMAKE_BUILD_TYPE=Release and the development checks on.

--- a/modules/settings/src/InstanceListParser.cpp
+++ b/modules/settings/src/InstanceListParser.cpp
@@ -91,12 +91,13 @@
     for (std::size_t index = 0; list && index < list->size(); ++index) {
         const json &value = (*list)[index];
         const std::string path = elementPath("$.services", index);
-        if (!value.is_string() || !isName(value.get<std::string>()))
+        const std::string name = value.is_string() ? value.get<std::string>() : std::string();
+        if (!isName(name))
             findings.push_back({path, "must be " + std::string(nameRule)});
-        else if (!seen.insert(value.get<std::string>()).second)
-            findings.push_back({path, "\"" + value.get<std::string>() + "\" stands twice"});
+        else if (!seen.insert(name).second)
+            findings.push_back({path, "\"" + name + "\" stands twice"});
         else
-            services.emplace_back(value.get<std::string>());
+            services.emplace_back(name);
     }
     reader.finish();
     if (findings.size() != before)
