--- a/modules/adapters/src/gateway/FleetBeacon.cpp
+++ b/modules/adapters/src/gateway/FleetBeacon.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <map>
 #include <optional>
 #include <utility>
@@ -30,6 +31,15 @@
 constexpr std::size_t maximumCrashReports = 32;
 /// Instances that have not called for this time are gone.
 constexpr Duration callerLifetime = seconds(10);
+/// Senders that are remembered, several times the largest fleet. Anyone can call from any number of
+/// ports, and each takes about 100 bytes.
+constexpr std::size_t maximumCallers = 8192;
+/// Names and addresses of platforms are far shorter. Each instance that is heard of is kept.
+constexpr std::size_t maximumNameBytes = 512;
+/// Losses that are older have no effect; larger numbers would overflow a duration.
+constexpr milliseconds oldestReport = std::chrono::hours(24);
+/// Larger numbers of cores would decide any election of coordinators.
+constexpr double maximumStrength = 4096;
 
 struct Message
 {
@@ -74,6 +84,45 @@
     return document.dump();
 }
 
+/// A datagram whose values no instance would send.
+struct UnusableValue
+{
+};
+
+/// The number, or the limit that it exceeds.
+std::int64_t clampedInteger(const json &value, std::int64_t largest)
+{
+    if (value.is_number_unsigned())
+        return static_cast<std::int64_t>(
+            std::min(value.get<std::uint64_t>(), static_cast<std::uint64_t>(largest)));
+    if (value.is_number_integer())
+        return std::clamp<std::int64_t>(value.get<std::int64_t>(), 0, largest);
+    throw UnusableValue();
+}
+
+std::uint64_t unsignedIn(const json &value, std::uint64_t largest)
+{
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() > largest)
+        throw UnusableValue();
+    return value.get<std::uint64_t>();
+}
+
+std::string nameIn(const json &value)
+{
+    auto name = value.get<std::string>();
+    if (name.size() > maximumNameBytes)
+        throw UnusableValue();
+    return name;
+}
+
+double strengthIn(const json &document)
+{
+    const double strength = document.value("strength", 0.0);
+    if (!(strength >= 0 && strength <= maximumStrength))
+        throw UnusableValue();
+    return strength;
+}
+
 std::vector<CrashReport> decodeCrashes(const json &list)
 {
     std::vector<CrashReport> crashes;
@@ -81,11 +130,11 @@
         if (crashes.size() == maximumCrashReports)
             break;
         CrashReport report;
-        report.loss.fingerprint = Fingerprint(entry.at(0).get<std::uint64_t>());
-        report.loss.server = ServerId(entry.at(1).get<std::string>());
-        report.loss.share =
-            std::clamp<std::int64_t>(entry.at(2).get<std::int64_t>(), 0, wholeServer);
-        report.age = milliseconds(std::max<std::int64_t>(0, entry.at(3).get<std::int64_t>()));
+        report.loss.fingerprint =
+            Fingerprint(unsignedIn(entry.at(0), std::numeric_limits<std::uint64_t>::max()));
+        report.loss.server = ServerId(nameIn(entry.at(1)));
+        report.loss.share = clampedInteger(entry.at(2), wholeServer);
+        report.age = milliseconds(clampedInteger(entry.at(3), oldestReport.count()));
         const bool isLossOfNothing = !report.hasSurvived() && report.loss.share == 0;
         if (!isLossOfNothing)
             crashes.push_back(std::move(report));
@@ -100,9 +149,11 @@
         if (instances.size() == maximumInstances)
             break;
         Instance instance;
-        instance.id = InstanceId(entry.at(0).get<std::string>());
-        instance.dataCentre = DataCentreId(entry.at(1).get<std::string>());
-        instance.peerAddress = entry.at(2).get<std::string>();
+        instance.id = InstanceId(nameIn(entry.at(0)));
+        instance.dataCentre = DataCentreId(nameIn(entry.at(1)));
+        instance.peerAddress = nameIn(entry.at(2));
+        if (instance.id.isEmpty())
+            throw UnusableValue();
         instances.push_back(std::move(instance));
     }
     return instances;
@@ -112,17 +163,18 @@
 {
     try {
         const json document = json::parse(text);
-        const json &heardOf = document.at("heardOf");
-        if (!heardOf.is_number_unsigned())
-            return std::nullopt;
         Message message;
-        message.news.instance = InstanceId(document.at("instance").get<std::string>());
-        message.news.dataCentre = DataCentreId(document.at("dataCentre").get<std::string>());
-        message.news.heardOf = heardOf.get<std::size_t>();
-        message.news.peerPort = document.at("peerPort").get<std::uint16_t>();
+        message.news.instance = InstanceId(nameIn(document.at("instance")));
+        if (message.news.instance.isEmpty())
+            return std::nullopt;
+        message.news.dataCentre = DataCentreId(nameIn(document.at("dataCentre")));
+        message.news.heardOf =
+            unsignedIn(document.at("heardOf"), std::numeric_limits<std::size_t>::max());
+        message.news.peerPort = static_cast<std::uint16_t>(
+            unsignedIn(document.at("peerPort"), std::numeric_limits<std::uint16_t>::max()));
         message.news.isReader = document.at("isReader").get<bool>();
         message.isReply = document.at("isReply").get<bool>();
-        message.news.strength = document.value("strength", 0.0);
+        message.news.strength = strengthIn(document);
         message.news.isLeaving = document.value("isLeaving", false);
         const auto coordinators = document.find("coordinators");
         if (coordinators != document.end())
@@ -137,6 +189,8 @@
     } catch (const json::exception &) {
         // Whatever a stranger sends to the port; it names no instance.
         return std::nullopt;
+    } catch (const UnusableValue &) {
+        return std::nullopt;
     }
 }
 
@@ -197,9 +251,7 @@
     void announceToAll()
     {
         announce();
-        const TimePoint now = m_timer.now();
-        std::erase_if(m_callers,
-                      [now](const auto &caller) { return now - caller.second > callerLifetime; });
+        forgetGoneCallers();
         const Message message{m_source({}), true};
         for (const auto &[endpoint, calledAt] : m_callers)
             send(message, endpoint);
@@ -213,10 +265,18 @@
     void call()
     {
         announce();
+        forgetGoneCallers();
         const Duration period = ++m_calls <= quickCalls ? firstPeriod : laterPeriod;
         m_next = m_timer.callAfter(period, [this](const TimerTick &) { call(); });
     }
 
+    void forgetGoneCallers()
+    {
+        const TimePoint now = m_timer.now();
+        std::erase_if(m_callers,
+                      [now](const auto &caller) { return now - caller.second > callerLifetime; });
+    }
+
     void send(const Message &message, const udp::endpoint &target)
     {
         const std::string text = encode(message);
@@ -243,7 +303,8 @@
         if (message) {
             m_listener(message->news, m_sender.address().to_string());
             if (!message->isReply) {
-                m_callers[m_sender] = m_timer.now();
+                if (m_callers.size() < maximumCallers || m_callers.contains(m_sender))
+                    m_callers[m_sender] = m_timer.now();
                 send({m_source(message->news.instance), true}, m_sender);
             }
             const bool isFromSeed = std::ranges::find(m_seeds, m_sender) != m_seeds.end();
--- a/modules/gateway/include/oleander/gateway/FleetSize.h
+++ b/modules/gateway/include/oleander/gateway/FleetSize.h
@@ -18,7 +18,7 @@
     explicit FleetSize(const InstanceId &self) { m_knownInstances.insert(self); }
 
     /// Called when a beacon of another instance was received.
-    void onBeacon(const InstanceId &instance) { m_knownInstances.insert(instance); }
+    void onBeacon(const InstanceId &instance);
     /// Takes into account the number of instances known to another instance.
     void addReportedCount(std::size_t count);
 
--- a/modules/gateway/src/FleetMembers.cpp
+++ b/modules/gateway/src/FleetMembers.cpp
@@ -12,6 +12,8 @@
 constexpr Duration memberLifetime = seconds(7);
 /// Elections are repeated at most once in this time while members change.
 constexpr Duration electionPeriod = milliseconds(250);
+/// Several times the largest fleet; anyone can send beacons under any number of names.
+constexpr std::size_t maximumMembers = 8192;
 constexpr double minimumRelativeStrength = 0.5;
 constexpr std::size_t instancesPerCoordinator = 6;
 constexpr std::size_t minimumCoordinators = 3;
@@ -50,6 +52,8 @@
         m_isChanged = m_members.erase(instance.id) > 0 || m_isChanged;
         return;
     }
+    if (m_members.size() >= maximumMembers && !m_members.contains(instance.id))
+        return;
     Member &member = m_members[instance.id];
     m_isChanged = m_isChanged || member.candidate.instance != instance
                   || member.candidate.strength != strength;
--- a/modules/gateway/src/FleetSize.cpp
+++ b/modules/gateway/src/FleetSize.cpp
@@ -8,9 +8,18 @@
 
 /// Higher reported counts are treated as corrupt.
 constexpr std::size_t maximumPlausibleCount = 100'000;
+/// Several times the largest fleet. Names are kept until the process ends, and anyone can state
+/// any.
+constexpr std::size_t maximumKnownInstances = 8192;
 
 } // namespace
 
+void FleetSize::onBeacon(const InstanceId &instance)
+{
+    if (m_knownInstances.size() < maximumKnownInstances)
+        m_knownInstances.insert(instance);
+}
+
 void FleetSize::addReportedCount(std::size_t count)
 {
     if (count <= maximumPlausibleCount)
--- a/modules/gateway/src/SharedRegistryReader.cpp
+++ b/modules/gateway/src/SharedRegistryReader.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr const char *registrySource = "registry";
+/// There are three seeds, and each may have had several names. Anyone can state to be one.
+constexpr std::size_t maximumReaders = 64;
 
 RegistryAnswer toRegistryAnswer(RegistryChanges changes)
 {
@@ -48,6 +50,9 @@
 {
     if (reader.id == m_role.self)
         return;
+    if (m_readers.size() >= maximumReaders && !m_readers.contains(reader.id))
+        m_readers.erase(std::ranges::min_element(
+            m_readers, {}, [](const auto &entry) { return entry.second.lastHeard; }));
     Reader &held = m_readers[reader.id];
     held.instance = reader;
     held.lastHeard = m_timer.now();
--- a/modules/gateway/tests/GatewayComponentsTest.cpp
+++ b/modules/gateway/tests/GatewayComponentsTest.cpp
@@ -147,6 +147,15 @@
     EXPECT_EQ(takeAllExtraAttempts(budget, rules, ExtraAttemptKind::Retry, afterWindow), 2);
 }
 
+// Guards against a process that runs out of memory because a stranger states ever new names.
+TEST(FleetSize, NamesThatAreKeptAreBounded)
+{
+    FleetSize size{InstanceId("a")};
+    for (int number = 0; number < 20'000; ++number)
+        size.onBeacon(InstanceId("i-" + std::to_string(number)));
+    EXPECT_EQ(size.heardOf(), 8192U);
+}
+
 TEST(FleetSize, EstimateNeedsAnotherInstanceAndNeverDecreases)
 {
     FleetSize size{InstanceId("a")};
