--- a/modules/adapters/src/peers/MessagePackReader.h
+++ b/modules/adapters/src/peers/MessagePackReader.h
@@ -2,6 +2,7 @@
 
 #include "peers/PeerFields.h"
 
+#include <oleander/adapters/peers/PeerCodec.h>
 #include <oleander/core/Reason.h>
 
 #include <msgpack.hpp>
@@ -14,6 +15,17 @@
 
 namespace oleander {
 
+/// Sizes that messages between daemons may state. Without limits, memory would be reserved for any
+/// stated size before the content is read.
+inline msgpack::unpack_limit peerMessageLimits()
+{
+    constexpr std::size_t maximumListSize = 65536;
+    constexpr std::size_t maximumMapSize = 64;
+    constexpr std::size_t maximumDepth = 8;
+    return {maximumListSize, maximumMapSize, maximumPeerMessageBytes, maximumPeerMessageBytes, 0,
+            maximumDepth};
+}
+
 /// Decodes values of messages between daemons from MessagePack. Keeps the first error; values read
 /// after an error are not valid.
 class MessagePackReader
--- a/modules/adapters/src/peers/PackedRegistryChanges.cpp
+++ b/modules/adapters/src/peers/PackedRegistryChanges.cpp
@@ -93,7 +93,8 @@
     RegistryChanges changes;
     MessagePackReader reader;
     try {
-        const msgpack::object_handle memory = msgpack::unpack(bytes.data(), bytes.size());
+        const msgpack::object_handle memory =
+            msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, peerMessageLimits());
         reader.read(memory.get(), changes.items);
     } catch (const msgpack::unpack_error &error) {
         reader.fail(error.what());
--- a/modules/adapters/src/peers/PeerCodec.cpp
+++ b/modules/adapters/src/peers/PeerCodec.cpp
@@ -16,10 +16,6 @@
 constexpr const char *gatherName = "gather";
 constexpr const char *gatheredName = "gathered";
 
-constexpr std::size_t maximumListSize = 65536;
-constexpr std::size_t maximumMapSize = 64;
-constexpr std::size_t maximumDepth = 8;
-
 template <typename Message>
 std::string encode(const char *name, const Message &message)
 {
@@ -42,13 +38,12 @@
         reason.set(ErrorKind::BodyTooLarge, "a message between daemons is too large");
         return std::nullopt;
     }
-    const msgpack::unpack_limit limit(maximumListSize, maximumMapSize, maximumPeerMessageBytes,
-                                      maximumPeerMessageBytes, 0, maximumDepth);
     const auto refer = [](msgpack::type::object_type, std::size_t, void *) { return true; };
     Envelope envelope;
     try {
         std::size_t end = 0;
-        msgpack::unpack(envelope.memory, bytes.data(), bytes.size(), end, refer, nullptr, limit);
+        msgpack::unpack(envelope.memory, bytes.data(), bytes.size(), end, refer, nullptr,
+                        peerMessageLimits());
         const msgpack::object &root = envelope.memory.get();
         const bool isMessage = end == bytes.size() && root.type == msgpack::type::MAP
                                && root.via.map.size == 1
