Findings in JSON can be located by line and column

Cause: a finding named the path of a value only, and bad input the byte. In a file of 90 shards an operator has to count.

--- a/modules/settings/src/JsonText.cpp
+++ b/modules/settings/src/JsonText.cpp
@@ -1,5 +1,7 @@
 #include "JsonText.h"
 
+#include <oleander/settings/JsonPosition.h>
+
 #include <nlohmann/json.hpp>
 
 #include <set>
@@ -16,8 +18,9 @@
 class StructureCheck : public nlohmann::json_sax<json>
 {
 public:
-    explicit StructureCheck(Findings &findings)
-        : m_findings(findings)
+    StructureCheck(std::string_view text, Findings &findings)
+        : m_text(text)
+        , m_findings(findings)
     {
     }
 
@@ -51,8 +54,11 @@
     bool parse_error(std::size_t position, const std::string & /*token*/,
                      const nlohmann::detail::exception & /*error*/) override
     {
-        m_findings.push_back(
-            {path(), "not valid JSON or a number too large, at byte " + std::to_string(position)});
+        // The position is the number of bytes read, of which the last is wrong.
+        const TextPosition place = positionAt(m_text, position > 0 ? position - 1 : 0);
+        m_findings.push_back({path(), "not valid JSON or a number too large, at line "
+                                          + std::to_string(place.line) + ", column "
+                                          + std::to_string(place.column)});
         return false;
     }
 
@@ -101,6 +107,7 @@
         return result;
     }
 
+    std::string_view m_text;
     Findings &m_findings;
     std::vector<Level> m_levels;
 };
@@ -114,7 +121,7 @@
         return std::nullopt;
     }
     const std::size_t before = findings.size();
-    StructureCheck check(findings);
+    StructureCheck check(text, findings);
     const bool isWellFormed = json::sax_parse(text, &check);
     if (!isWellFormed || findings.size() != before)
         return std::nullopt;
