oleanderctl checks and compares what an operator sends on the platform

Cause: check and diff read the product's own files only. A fault in op/config (a misspelt member, a prefix that can never match, a service without declaration, an objective over the time-out) showed first at the gateways, or never. Change: the tool takes a format of the platform (OperatorFormat), which platform/ implements: form and range of each member, misspelt members, entries that can never match, contradicting limits, attempts over registered servers, limits over the memory, and the comparison by meaning with the version in force, from a file or from the store. Findings have file, line and column, also in JSON. For own files: exceptions that cover nothing or are never in force, and gateways' settings.

--- a/modules/gateway/include/oleander/gateway/RouteTable.h
+++ b/modules/gateway/include/oleander/gateway/RouteTable.h
@@ -4,6 +4,7 @@
 #include <oleander/gateway/Route.h>
 
 #include <memory>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -28,6 +29,9 @@
     int connectionCap = 0;
 };
 
+/// The form in which host names are compared: case-insensitively and without the port.
+[[nodiscard]] std::string hostKey(std::string_view host);
+
 /// One published configuration: routes, services and limits.
 struct GatewayConfiguration
 {
--- a/modules/gateway/src/RouteTable.cpp
+++ b/modules/gateway/src/RouteTable.cpp
@@ -5,9 +5,6 @@
 
 namespace oleander::gateway {
 
-namespace {
-
-/// Host names are compared case-insensitively and without the port.
 std::string hostKey(std::string_view host)
 {
     std::string key(host.substr(0, host.find(':')));
@@ -17,8 +14,6 @@
     return key;
 }
 
-} // namespace
-
 RouteTable::RouteTable(GatewayConfiguration configuration)
     : m_configuration(std::move(configuration))
 {
--- a/modules/tool/src/CheckTogether.cpp
+++ b/modules/tool/src/CheckTogether.cpp
@@ -11,7 +11,7 @@
 
 void report(PublishedFiles &files, const std::string &file, std::string path, std::string text)
 {
-    files.findings.push_back({file, {std::move(path), std::move(text)}});
+    files.findings.push_back({file, {std::move(path), std::move(text)}, std::nullopt});
 }
 
 void checkServices(PublishedFiles &files)
@@ -85,6 +85,59 @@
     }
 }
 
+/// Names that are published, but not together.
+void checkEmptyCovers(PublishedFiles &files)
+{
+    const std::vector<PolicyException> &exceptions = files.configuration->value.exceptions;
+    for (std::size_t index = 0; index < exceptions.size(); ++index) {
+        const Subject &covers = exceptions[index].covers;
+        const std::string path = "$.exceptions[" + std::to_string(index) + "].covers";
+        const auto map = std::ranges::find_if(files.partitions, [&](const auto &entry) {
+            return entry.value.service == covers.service;
+        });
+        if (!covers.backend.isEmpty() && map != files.partitions.end()
+            && map->value.backend != covers.backend)
+            report(files, files.configuration->file, path,
+                   "covers nothing: service \"" + covers.service.text() + "\" belongs to backend \""
+                       + map->value.backend.text() + "\"");
+        if (!files.instances || covers.dataCentre.isEmpty())
+            continue;
+        const std::vector<Instance> &instances = files.instances->value.instances;
+        const auto instance = std::ranges::find(instances, covers.instance, &Instance::id);
+        if (instance != instances.end() && instance->dataCentre != covers.dataCentre)
+            report(files, files.configuration->file, path,
+                   "covers nothing: instance \"" + covers.instance.text()
+                       + "\" is in data centre \"" + instance->dataCentre.text() + "\"");
+    }
+}
+
+/// Whether later exceptions that cover at least as much set the field.
+bool isOverruled(const std::vector<PolicyException> &exceptions, std::size_t index,
+                 const std::string &field)
+{
+    return std::any_of(exceptions.begin() + static_cast<std::ptrdiff_t>(index) + 1,
+                       exceptions.end(), [&](const PolicyException &later) {
+                           return isCovered(later.covers, exceptions[index].covers)
+                                  && std::ranges::find(later.fields, field) != later.fields.end();
+                       });
+}
+
+void checkOverruled(PublishedFiles &files)
+{
+    const std::vector<PolicyException> &exceptions = files.configuration->value.exceptions;
+    for (std::size_t index = 0; index < exceptions.size(); ++index) {
+        const std::vector<std::string> &fields = exceptions[index].fields;
+        const bool isNeverInForce =
+            !fields.empty() && std::ranges::all_of(fields, [&](const std::string &field) {
+                return isOverruled(exceptions, index, field);
+            });
+        if (isNeverInForce)
+            report(files, files.configuration->file, "$.exceptions[" + std::to_string(index) + "]",
+                   "is never in force: later exceptions cover at least as much and set all its "
+                   "values");
+    }
+}
+
 void checkCaps(PublishedFiles &files)
 {
     std::vector<PartitionMap> maps;
@@ -142,6 +195,8 @@
     checkServices(files);
     if (files.configuration) {
         checkCoveredNames(files);
+        checkEmptyCovers(files);
+        checkOverruled(files);
         checkCaps(files);
     }
     if (files.configuration && files.instances)
--- a/modules/tool/src/PublishedFiles.cpp
+++ b/modules/tool/src/PublishedFiles.cpp
@@ -1,3 +1,4 @@
+#include <oleander/settings/GatewaySettings.h>
 #include <oleander/settings/InstanceListParser.h>
 #include <oleander/settings/PartitionMapParser.h>
 #include <oleander/settings/PolicySetParser.h>
@@ -21,10 +22,21 @@
 /// Files have no version of the platform's.
 constexpr SectionVersion fileVersion{1};
 
-enum class FileKind { Configuration, Instances, Services, Partitions, Daemon, Unknown };
-
-FileKind kindOf(const std::string &text)
+enum class FileKind {
+    Configuration,
+    Instances,
+    Services,
+    Partitions,
+    Daemon,
+    Gateway,
+    Operator,
+    Unknown
+};
+
+FileKind kindOf(const std::string &text, const DocumentReading &reading)
 {
+    if (reading.format && reading.format->recognises(text))
+        return FileKind::Operator;
     const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
     if (!document.is_object())
         return FileKind::Unknown;
@@ -32,6 +44,8 @@
         return FileKind::Partitions;
     if (document.contains("platformAddresses") || document.contains("peerKey"))
         return FileKind::Daemon;
+    if (document.contains("registryAddress") || document.contains("fleetKey"))
+        return FileKind::Gateway;
     if (document.contains("instances"))
         return FileKind::Instances;
     if (document.contains("services"))
@@ -44,7 +58,7 @@
 void report(PublishedFiles &files, const std::string &file, const Findings &findings)
 {
     for (const Finding &finding : findings)
-        files.findings.push_back({file, finding});
+        files.findings.push_back({file, finding, std::nullopt});
 }
 
 /// Keeps the value of a kind that stands once in a set of files.
@@ -86,10 +100,20 @@
         files.daemons.push_back({file, std::move(*settings)});
 }
 
-void readText(PublishedFiles &files, const std::string &file, const std::string &text)
+void readOperatorFile(PublishedFiles &files, const std::string &file, const std::string &text,
+                      const DocumentReading &reading, Findings &findings)
+{
+    if (checkJson(text, findings))
+        keepOnce(files.operatorDocument, file, reading.format->read(text, reading.facts, findings),
+                 findings);
+}
+
+void readText(PublishedFiles &files, const std::string &file, const std::string &text,
+              const DocumentReading &reading)
 {
     Findings findings;
-    switch (kindOf(text)) {
+    files.texts[file] = text;
+    switch (kindOf(text, reading)) {
     case FileKind::Configuration:
         readConfigurationFile(files, file, text, findings);
         break;
@@ -105,11 +129,16 @@
     case FileKind::Daemon:
         readDaemonFile(files, file, text, findings);
         break;
+    case FileKind::Gateway:
+        static_cast<void>(readGatewaySettings(text, findings));
+        break;
+    case FileKind::Operator:
+        readOperatorFile(files, file, text, reading, findings);
+        break;
     case FileKind::Unknown:
-        if (!nlohmann::json::accept(text))
-            readPolicySet(text, fileVersion, findings);
+        checkJson(text, findings);
         findings.push_back({"$", "is no configuration, list of instances, list of services, "
-                                 "partition map or daemon's settings file"});
+                                 "partition map, daemon's or gateway's settings file"});
         break;
     }
     report(files, file, findings);
@@ -147,7 +176,7 @@
 }
 
 std::optional<PublishedFiles> readPublishedFiles(const std::vector<std::string> &paths,
-                                                 Reason &reason)
+                                                 Reason &reason, const DocumentReading &reading)
 {
     PublishedFiles files;
     for (const std::string &path : paths) {
@@ -155,7 +184,7 @@
             const std::optional<std::string> text = readFile(file, reason);
             if (!text)
                 return std::nullopt;
-            readText(files, file, *text);
+            readText(files, file, *text, reading);
         }
     }
     if (files.fileCount == 0) {
@@ -165,4 +194,13 @@
     return files;
 }
 
+void locateFindings(PublishedFiles &files)
+{
+    for (FileFinding &entry : files.findings) {
+        const auto text = files.texts.find(entry.file);
+        if (text != files.texts.end())
+            entry.position = positionOf(text->second, entry.finding.path);
+    }
+}
+
 } // namespace oleander
--- a/modules/tool/src/Tool.cpp
+++ b/modules/tool/src/Tool.cpp
@@ -14,17 +14,28 @@
 {
     std::string_view name;
     std::string_view summary;
-    ExitCode (*run)(const std::vector<std::string> &arguments, Terminal &terminal);
+    ExitCode (*run)(const std::vector<std::string> &arguments, Terminal &terminal,
+                    const OperatorFormat *format);
 };
 
+/// For a command that reads no documents of a platform.
+template <ExitCode (*run)(const std::vector<std::string> &, Terminal &)>
+ExitCode withoutFormat(const std::vector<std::string> &arguments, Terminal &terminal,
+                       const OperatorFormat *)
+{
+    return run(arguments, terminal);
+}
+
 constexpr std::array commands{
     Command{"check", "check files before they are published", runCheck},
     Command{"diff", "show what a change of the configuration touches", runDiff},
-    Command{"explain", "show what is in force for a subject, and why", runExplain},
-    Command{"query", "send one query to a daemon", runQuery},
-    Command{"status", "show one table over all daemons", runStatus},
-    Command{"burn", "report how much of the service-level budgets is burnt", runBurn},
-    Command{"trace", "tell the story of a request from the logs of gateways", runTrace},
+    Command{"explain", "show what is in force for a subject, and why", withoutFormat<runExplain>},
+    Command{"query", "send one query to a daemon", withoutFormat<runQuery>},
+    Command{"status", "show one table over all daemons", withoutFormat<runStatus>},
+    Command{"burn", "report how much of the service-level budgets is burnt",
+            withoutFormat<runBurn>},
+    Command{"trace", "tell the story of a request from the logs of gateways",
+            withoutFormat<runTrace>},
 };
 
 void writeHelp(std::ostream &out)
@@ -41,7 +52,8 @@
 
 } // namespace
 
-ExitCode runTool(const std::vector<std::string> &arguments, Terminal &terminal)
+ExitCode runTool(const std::vector<std::string> &arguments, Terminal &terminal,
+                 const OperatorFormat *format)
 {
     if (arguments.empty()) {
         writeHelp(terminal.err);
@@ -57,7 +69,7 @@
         writeHelp(terminal.err);
         return ExitCode::Usage;
     }
-    return command->run({arguments.begin() + 1, arguments.end()}, terminal);
+    return command->run({arguments.begin() + 1, arguments.end()}, terminal, format);
 }
 
 } // namespace oleander
--- a/modules/tool/src/commands/CommandLine.cpp
+++ b/modules/tool/src/commands/CommandLine.cpp
@@ -29,7 +29,8 @@
         m_result = m_options.parse(static_cast<int>(values.size()), values.data());
         // Reads each number once, so that a bad one is reported here.
         for (const auto &argument : m_result.arguments()) {
-            if (argument.key().ends_with("-ms") || argument.key() == "limit")
+            if (argument.key().ends_with("-ms") || argument.key().ends_with("-mb")
+                || argument.key() == "limit")
                 static_cast<void>(number(argument.key()));
         }
     } catch (const cxxopts::exceptions::exception &error) {
--- a/modules/tool/src/commands/Commands.h
+++ b/modules/tool/src/commands/Commands.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <oleander/tool/OperatorFormat.h>
 #include <oleander/tool/Terminal.h>
 
 #include <string>
@@ -7,10 +8,12 @@
 
 namespace oleander {
 
-// One function a command; `arguments` are those behind the command's name.
+// One function a command; `arguments` are those behind the command's name. `format` may be null.
 
-ExitCode runCheck(const std::vector<std::string> &arguments, Terminal &terminal);
-ExitCode runDiff(const std::vector<std::string> &arguments, Terminal &terminal);
+ExitCode runCheck(const std::vector<std::string> &arguments, Terminal &terminal,
+                  const OperatorFormat *format);
+ExitCode runDiff(const std::vector<std::string> &arguments, Terminal &terminal,
+                 const OperatorFormat *format);
 ExitCode runExplain(const std::vector<std::string> &arguments, Terminal &terminal);
 ExitCode runQuery(const std::vector<std::string> &arguments, Terminal &terminal);
 ExitCode runStatus(const std::vector<std::string> &arguments, Terminal &terminal);
--- a/modules/tool/src/commands/DiffCommand.cpp
+++ b/modules/tool/src/commands/DiffCommand.cpp
@@ -2,7 +2,9 @@
 #include "commands/PolicySource.h"
 #include "commands/TextTable.h"
 
+#include <oleander/tool/DocumentComparison.h>
 #include <oleander/tool/PolicyComparison.h>
+#include <oleander/tool/PublishedFiles.h>
 
 #include <nlohmann/json.hpp>
 
@@ -13,7 +15,8 @@
 using nlohmann::json;
 
 constexpr auto diffNotes =
-    "Compares two configuration files, or with --platform what is published with one file.\n"
+    "Compares two configuration files, or with --platform what is published with one file; either\n"
+    "the product's own configuration or what an operator sends on the platform.\n"
     "A narrower subject is left out where it changes like a wider one.\n"
     "\nExit codes: 0 nothing changes, 1 something changes, 2 a configuration can not be used or\n"
     "arguments are wrong, 3 the platform did not answer.\n";
@@ -69,9 +72,46 @@
         out << "nothing changes\n";
 }
 
+/// Compares operators' documents; nothing when the new file is none.
+std::optional<ExitCode> compareOperatorFiles(const CommandLine &line,
+                                             const std::vector<std::string> &paths,
+                                             Terminal &terminal, const OperatorFormat &format)
+{
+    Reason reason;
+    const auto fresh = readFile(paths.back(), reason);
+    if (!fresh || !format.recognises(*fresh))
+        return std::nullopt;
+    std::optional<std::string> old;
+    if (line.has("platform")) {
+        auto deployed = format.fetch(line.text("platform"), reason);
+        if (!deployed) {
+            line.refuse(terminal, reason.text);
+            return ExitCode::Unreachable;
+        }
+        old = std::move(deployed->text);
+    } else if (!(old = readFile(paths.front(), reason))) {
+        return line.refuse(terminal, reason.text);
+    }
+    Findings findings;
+    const auto before = format.read(*old, {}, findings);
+    const auto after = format.read(*fresh, {}, findings);
+    if (!before || !after) {
+        for (const Finding &finding : findings)
+            terminal.err << toText(finding) << '\n';
+        return ExitCode::Usage;
+    }
+    const auto changes = compareDocuments(*before, *after);
+    if (line.isJson())
+        terminal.out << json{{"changes", changesJson(changes)}}.dump(2) << '\n';
+    else
+        writeChanges(changes, terminal.out);
+    return changes.empty() ? ExitCode::Ok : ExitCode::Finding;
+}
+
 } // namespace
 
-ExitCode runDiff(const std::vector<std::string> &arguments, Terminal &terminal)
+ExitCode runDiff(const std::vector<std::string> &arguments, Terminal &terminal,
+                 const OperatorFormat *format)
 {
     CommandLine line("diff", "Shows which subjects and values a change touches.",
                      "(OLD NEW | --platform ADDRESS NEW) [--json]", diffNotes);
@@ -84,6 +124,10 @@
     const bool isPublished = line.has("platform");
     if (paths.size() != (isPublished ? 1U : 2U))
         return line.refuse(terminal, "give the old and the new configuration");
+    if (format) {
+        if (const auto code = compareOperatorFiles(line, paths, terminal, *format))
+            return *code;
+    }
     const PolicySource before = isPublished
                                     ? policiesFromPlatform(line, line.text("platform"), terminal)
                                     : policiesFromFile(line, paths.front(), terminal);
--- a/modules/tool/tests/CheckTest.cpp
+++ b/modules/tool/tests/CheckTest.cpp
@@ -22,6 +22,17 @@
      "tailLimitMs 20000 (milliseconds) must not be larger than maximumDeadlineMs 10000"},
     {"config.json", "\"client-notes\"", "\"client-note\"",
      "$.exceptions[0].covers.backend: no backend \"client-note\" is published"},
+    {"config.json", "{ \"backend\": \"client-notes\" }",
+     "{ \"backend\": \"client-notes\", \"service\": \"studio-billing\" }",
+     "$.exceptions[0].covers: covers nothing: service \"studio-billing\" belongs to backend"},
+    {"config.json", "\"caller\": \"label-export\" }",
+     "\"dataCentre\": \"qro-b\", \"instance\": \"amms-01\" }",
+     "$.exceptions[2].covers: covers nothing: instance \"amms-01\" is in data centre"},
+    {"config.json", "\"backend\": \"session-dashboard\" },",
+     "\"backend\": \"session-dashboard\", \"caller\": \"mastering-console\" },\n"
+     "\"reason\": \"r\", \"values\": { \"urgentCallers\": [\"a\"] } },\n"
+     "{ \"name\": \"wider\", \"covers\": { \"backend\": \"session-dashboard\" },",
+     "$.exceptions[3]: is never in force: later exceptions cover at least as much"},
     {"config.json", "\"connectionsPerServer\": 4,", "\"connectionsPerServer\": 23,",
      "the fleet would open 46 connections, but may use 45"},
     {"config.json", "\"coordinators\": 4", "\"coordinators\": 21",
@@ -79,6 +90,38 @@
     }
 }
 
+TEST(Check, NamesLineAndColumnInTheProductsOwnFiles)
+{
+    const TemporaryFolder folder;
+    const std::string bad = folder.write("bad.json", "{\"defaults\": {\n  \"hedging\": tru}}");
+    EXPECT_NE(runInTest({"check", bad}).out.find("line 2, column 17"), std::string::npos)
+        << runInTest({"check", bad}).out;
+    const std::string text =
+        folder.write("text.json", "{\"fleet\": \"f\",\n \"defaults\": {\n  \"hedging\": 3}}");
+    EXPECT_NE(runInTest({"check", text}).out.find("text.json:3:3: $.defaults.hedging"),
+              std::string::npos)
+        << runInTest({"check", text}).out;
+}
+
+TEST(Check, ReadsTheSettingsOfGateways)
+{
+    const TemporaryFolder folder;
+    const std::string file = folder.write(
+        "gateway.json", "{\"registryAddress\": \"127.0.0.1:2379\",\n \"descriptors\": 3}");
+    const ToolRun run = runInTest({"check", file});
+    EXPECT_EQ(run.code, ExitCode::Finding);
+    EXPECT_NE(run.out.find("gateway.json:2:2: $.descriptors: must be a whole number from 64"),
+              std::string::npos)
+        << run.out;
+}
+
+// A platform whose documents are not known must not be taken for a version in force.
+TEST(Check, RefusesAVersionInForceOfAnUnknownPlatform)
+{
+    const std::string config = examplePath("amms/config.json");
+    EXPECT_EQ(runInTest({"check", config, "--in-force", config}).code, ExitCode::Usage);
+}
+
 TEST(Check, ReportsAllFaultsAsJsonAndTellsFilesApart)
 {
     const TemporaryFolder folder;
--- a/programs/oleanderctl.cpp
+++ b/programs/oleanderctl.cpp
@@ -1,3 +1,4 @@
+#include <oleander/platform/OperatorDocuments.h>
 #include <oleander/tool/Tool.h>
 
 #include <iostream>
@@ -6,5 +7,6 @@
 {
     oleander::Terminal terminal{std::cout, std::cerr};
     const std::vector<std::string> arguments(values + 1, values + count);
-    return static_cast<int>(oleander::runTool(arguments, terminal));
+    const oleander::OperatorFormat format = oleander::platform::makeOperatorFormat();
+    return static_cast<int>(oleander::runTool(arguments, terminal, &format));
 }
