--- a/modules/gateway/include/oleander/gateway/RouteTable.h
+++ b/modules/gateway/include/oleander/gateway/RouteTable.h
@@ -36,6 +36,9 @@
     std::string healthPath{};
 };
 
+/// The form in which host names are compared: case-insensitively and without the port.
+[[nodiscard]] std::string hostKey(std::string_view host);
+
 /// One published configuration: routes, services and limits.
 struct GatewayConfiguration
 {
