Gateway settings name the memory limit of the process

A gateway did not know how much memory its machine has, so it could not bound what callers make it hold. Nothing uses it yet.

--- a/modules/settings/include/oleander/settings/GatewaySettings.h
+++ b/modules/settings/include/oleander/settings/GatewaySettings.h
@@ -35,6 +35,10 @@
     Duration heartbeat = seconds(1);
     /// Descriptors that the process may have open.
     int descriptors = 1024;
+    /// Memory that the process may use, in MB. The default holds for settings files of earlier
+    /// releases: the quarter of it that requests may hold fits beside the process itself on the
+    /// smallest machines, which have 112 MB.
+    int memoryMb = 256;
     /// Share of a processor that the process may use, in cores. Instances with a large share
     /// coordinate gathered requests for the others.
     double processorShare = 1;
@@ -49,8 +53,9 @@
 
 /// Reads a gateway's settings file, JSON. Keys: `instance`, `dataCentre`, `callerAddress`,
 /// `readinessAddress`, `metricsAddress`, `registryAddress`, `peerAddress`, `fleetKey`, `seeds`,
-/// `stopSeconds`, `heartbeatMs`, `descriptors`, `processorShare`, `extraLoad` with `share`,
-/// `allowance` and `windowSeconds`. All are required. Every fault is reported with its path.
+/// `stopSeconds`, `heartbeatMs`, `descriptors`, `memoryMb`, `processorShare`, `extraLoad` with
+/// `share`, `allowance` and `windowSeconds`. All but `memoryMb` are required. Every fault is
+/// reported with its path.
 std::optional<GatewaySettings> readGatewaySettings(std::string_view text, Findings &findings);
 
 /// The same, with the first fault.
--- a/modules/settings/src/GatewaySettings.cpp
+++ b/modules/settings/src/GatewaySettings.cpp
@@ -13,6 +13,9 @@
 
 constexpr NumberRange heartbeatRange{10, 600'000, "ms"};
 constexpr NumberRange descriptorRange{64, 1 << 24, "descriptors"};
+/// The process itself needs some 10 MB with few servers; less than this leaves no room for
+/// requests.
+constexpr NumberRange memoryRange{32, 1 << 24, "MB"};
 constexpr std::size_t maximumSeeds = 64;
 constexpr std::size_t shortestFleetKey = 8;
 constexpr double longestStop = 3600;
@@ -88,6 +91,8 @@
         milliseconds(reader.integer("heartbeatMs", heartbeatRange, Presence::Required).value_or(0));
     settings.descriptors = static_cast<int>(
         reader.integer("descriptors", descriptorRange, Presence::Required).value_or(0));
+    settings.memoryMb = static_cast<int>(
+        reader.integer("memoryMb", memoryRange, Presence::Optional).value_or(settings.memoryMb));
     settings.processorShare = reader
                                   .number("processorShare", smallestProcessorShare,
                                           largestProcessorShare, Presence::Required)
--- a/modules/settings/tests/GatewaySettingsTest.cpp
+++ b/modules/settings/tests/GatewaySettingsTest.cpp
@@ -38,6 +38,24 @@
     EXPECT_EQ(settings->extraAllowance, 129);
 }
 
+/// Guards against instances that refuse the settings file of an earlier release.
+TEST(GatewaySettings, MemoryLimitIsOptional)
+{
+    json document = plainSettings();
+    Reason reason;
+    const auto older = parseGatewaySettings(document.dump(), reason);
+    ASSERT_TRUE(older) << reason.text;
+    EXPECT_EQ(older->memoryMb, GatewaySettings().memoryMb);
+    document["memoryMb"] = 112;
+    const auto settings = parseGatewaySettings(document.dump(), reason);
+    ASSERT_TRUE(settings) << reason.text;
+    EXPECT_EQ(settings->memoryMb, 112);
+    document["memoryMb"] = 1;
+    EXPECT_FALSE(parseGatewaySettings(document.dump(), reason));
+    EXPECT_TRUE(reason.text.starts_with("$.memoryMb: must be a whole number from 32"))
+        << reason.text;
+}
+
 TEST(GatewaySettings, NamesThePathAndTheRangeOfWhatIsWrong)
 {
     const std::vector<std::pair<json, std::string>> faults{
