Memory budget for what callers make a gateway hold

Cause: each connection of a caller could hold a whole body, 64 KB behind a request, an unread answer and buffers of the system that grow with traffic; only the number of connections was bounded.

ProcessMemory accounts unfinished requests, requests under way, bytes behind them and unread answers. Idle connections hold no read buffer, and a body's memory is not doubled beyond its stated length.

--- a/modules/adapters/include/oleander/adapters/gateway/CallerIngress.h
+++ b/modules/adapters/include/oleander/adapters/gateway/CallerIngress.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <oleander/adapters/gateway/HeaderNames.h>
+#include <oleander/adapters/resources/ProcessMemory.h>
 #include <oleander/core/Reason.h>
 #include <oleander/gateway/Gateway.h>
 #include <oleander/ports/TimerService.h>
@@ -35,7 +36,8 @@
 /// closes its connection while its request is under way.
 ///
 /// When there are too many connections, those that have not sent a whole request give way first,
-/// the oldest of them before the others.
+/// the oldest of them before the others, then those that hold bytes behind a request or an answer
+/// that is not read.
 class CallerIngress
 {
 public:
@@ -45,6 +47,9 @@
     CallerIngress &operator=(const CallerIngress &) = delete;
     ~CallerIngress();
 
+    /// Charges what callers make the process hold to `memory`, and bounds connections by it. Must
+    /// be called before listen().
+    void setMemory(std::shared_ptr<ProcessMemory> memory);
     /// Bounds that hold for requests that begin from now on.
     void setLimits(const gateway::CallerLimits &limits);
     void setMaximumConnections(std::size_t maximum);
--- a/modules/adapters/src/concurrency/GrowingStringBody.h
+++ b/modules/adapters/src/concurrency/GrowingStringBody.h
@@ -7,8 +7,11 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/optional.hpp>
 
+#include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <string>
+#include <utility>
 
 namespace oleander {
 
@@ -30,8 +33,9 @@
             : m_body(body)
         {
         }
-        void init(const boost::optional<std::uint64_t> &, boost::system::error_code &error)
+        void init(const boost::optional<std::uint64_t> &length, boost::system::error_code &error)
         {
+            m_length = length.value_or(std::numeric_limits<std::uint64_t>::max());
             error = {};
         }
         template <typename Buffers>
@@ -42,6 +46,7 @@
             for (auto part = boost::asio::buffer_sequence_begin(buffers);
                  part != boost::asio::buffer_sequence_end(buffers); ++part) {
                 const boost::asio::const_buffer bytes = *part;
+                makeRoom(bytes.size());
                 m_body.append(static_cast<const char *>(bytes.data()), bytes.size());
             }
             return m_body.size() - before;
@@ -49,7 +54,21 @@
         void finish(boost::system::error_code &error) { error = {}; }
 
     private:
+        /// Doubles the memory like append(), but never beyond the stated length.
+        void makeRoom(std::size_t count)
+        {
+            const std::size_t needed = m_body.size() + count;
+            if (needed <= m_body.capacity())
+                return;
+            const auto doubled = std::uint64_t{2} * m_body.capacity();
+            value_type grown;
+            grown.reserve(std::max<std::size_t>(needed, std::min(doubled, m_length)));
+            grown += m_body;
+            m_body = std::move(grown);
+        }
+
         value_type &m_body;
+        std::uint64_t m_length = 0;
     };
 
     using writer = boost::beast::http::string_body::writer;
--- a/modules/adapters/src/concurrency/Listening.cpp
+++ b/modules/adapters/src/concurrency/Listening.cpp
@@ -54,6 +54,12 @@
         acceptor.set_option(asio::socket_base::reuse_address(true), error);
     if (!error && options.isPortShared && !sharePort(acceptor))
         error.assign(errno, boost::system::generic_category());
+    // Connections inherit the size. It must be set before they are open to bound what they hold
+    // before they are accepted.
+    if (!error && options.receiveBufferBytes > 0)
+        acceptor.set_option(
+            asio::socket_base::receive_buffer_size(static_cast<int>(options.receiveBufferBytes)),
+            error);
     if (!error)
         acceptor.bind(*endpoint, error);
     if (!error)
--- a/modules/adapters/src/concurrency/Listening.h
+++ b/modules/adapters/src/concurrency/Listening.h
@@ -20,6 +20,8 @@
     bool isPortShared = true;
     /// Maximum number of connections that the system queues until they are accepted.
     int backlog = 1024;
+    /// Receive buffer of each connection; 0 for the system's default, which grows with traffic.
+    std::size_t receiveBufferBytes = 0;
 };
 
 /// Opens a listening socket on an IP address and a port.
--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -96,11 +96,12 @@
 {
 public:
     Connection(asio::io_context &context, const HeaderNames &names,
-               gateway::ServerLinkListener &listener, std::shared_ptr<std::size_t> heldBytes)
+               gateway::ServerLinkListener &listener,
+               std::shared_ptr<AsioServerLinks::HeldReplies> heldByAll)
         : m_socket(context)
         , m_names(names)
         , m_listener(&listener)
-        , m_heldByAll(std::move(heldBytes))
+        , m_heldByAll(std::move(heldByAll))
     {
     }
     Connection(const Connection &) = delete;
@@ -206,14 +207,14 @@
     /// Counts the bytes of an unfinished reply. False if there is no room for them.
     bool hold(std::size_t count)
     {
-        if (*m_heldByAll + count > AsioServerLinks::maximumHeldBytes)
+        if (m_heldByAll->bytes + count > m_heldByAll->limit)
             return false;
         m_held += count;
-        *m_heldByAll += count;
+        m_heldByAll->bytes += count;
         return true;
     }
 
-    void releaseHeld() { *m_heldByAll -= std::exchange(m_held, 0); }
+    void releaseHeld() { m_heldByAll->bytes -= std::exchange(m_held, 0); }
 
     void onEnd(const error_code &error)
     {
@@ -362,7 +363,7 @@
     int m_skippedReplies = 0;
     /// Bytes of the unfinished reply, and those of all connections.
     std::size_t m_held = 0;
-    std::shared_ptr<std::size_t> m_heldByAll;
+    std::shared_ptr<AsioServerLinks::HeldReplies> m_heldByAll;
     std::string m_out;
     beast::flat_buffer m_in;
     std::shared_ptr<const gateway::CallerRequest> m_request;
@@ -403,7 +404,7 @@
 std::unique_ptr<gateway::ServerLink> AsioServerLinks::open(const Address &address,
                                                            gateway::ServerLinkListener &listener)
 {
-    auto connection = std::make_shared<Connection>(m_context, m_names, listener, m_heldBytes);
+    auto connection = std::make_shared<Connection>(m_context, m_names, listener, m_held);
     connection->open(address);
     return std::make_unique<Link>(std::move(connection));
 }
--- a/modules/adapters/src/gateway/CallerIngress.cpp
+++ b/modules/adapters/src/gateway/CallerIngress.cpp
@@ -25,7 +25,7 @@
 public:
     Impl(asio::io_context &context, TimerService &timer, HeaderNames names, IngressHandler handler)
         : m_shared(std::make_shared<IngressShared>(
-            IngressShared{timer, std::move(names), std::move(handler), {}, {}, false, {}}))
+            IngressShared{timer, std::move(names), std::move(handler), {}, {}, nullptr, false, {}}))
         , m_context(context)
         , m_acceptor(context)
     {
@@ -34,11 +34,27 @@
 
     void setMaximumConnections(std::size_t maximum) { m_maximum = maximum; }
 
+    void setMemory(std::shared_ptr<ProcessMemory> memory)
+    {
+        m_shared->memory = std::move(memory);
+        m_shared->memory->addSource([weak = weak_from_this()](EvictableConnections &connections) {
+            if (const auto self = weak.lock()) {
+                for (const auto &[key, session] : self->m_sessions)
+                    connections.push_back(session);
+            }
+        });
+    }
+
     std::optional<std::uint16_t> listen(const Address &address, Reason &reason)
     {
         // Two gateways must never share the callers of one port unnoticed.
-        auto opened = listenOn(m_context, addressText(address), reason,
-                               {false, asio::socket_base::max_listen_connections});
+        ListenOptions options{false, asio::socket_base::max_listen_connections, 0};
+        if (m_shared->memory) {
+            options.backlog = static_cast<int>(m_shared->memory->limits().backlog);
+            options.receiveBufferBytes = receiveBufferBytes;
+            m_maximum = std::min(m_maximum, m_shared->memory->limits().connections);
+        }
+        auto opened = listenOn(m_context, addressText(address), reason, options);
         if (!opened)
             return std::nullopt;
         m_acceptor = std::move(*opened);
@@ -113,8 +129,11 @@
             return;
         }
         ++m_shared->counts.accepted;
-        if (m_sessions.size() >= m_maximum)
-            makeRoom();
+        if (m_sessions.size() >= m_maximum && !makeRoom()) {
+            ++m_shared->counts.evicted;
+            accept();
+            return;
+        }
         auto session = std::make_shared<IngressSession>(m_shared, std::move(socket));
         m_sessions.emplace(session.get(), session);
         session->start();
@@ -122,8 +141,9 @@
     }
 
     /// Closes the connection that has waited longest for the rest of a request, or, when there is
-    /// none, the one that has been idle for longest.
-    void makeRoom()
+    /// none, the one that has been idle for longest, or else the one that holds most bytes beside
+    /// its request. False if there is none of them.
+    bool makeRoom()
     {
         std::shared_ptr<IngressSession> victim;
         const auto isBetter = [](const IngressSession &left, const IngressSession &right) {
@@ -136,9 +156,25 @@
                 victim = session;
         }
         if (!victim)
-            return;
+            victim = costliestBusySession();
+        if (!victim)
+            return false;
         ++m_shared->counts.evicted;
         victim->close();
+        return true;
+    }
+
+    [[nodiscard]] std::shared_ptr<IngressSession> costliestBusySession() const
+    {
+        std::vector<std::shared_ptr<IngressSession>> sessions;
+        std::vector<HeldConnection> held;
+        const TimePoint now = m_shared->timer.now();
+        for (const auto &[key, session] : m_sessions) {
+            sessions.push_back(session);
+            held.push_back(session->held(now));
+        }
+        const auto chosen = chooseEvicted(held, 1);
+        return chosen.empty() ? nullptr : sessions[chosen.front()];
     }
 
     std::shared_ptr<IngressShared> m_shared;
@@ -171,6 +207,11 @@
     m_impl->setMaximumConnections(maximum);
 }
 
+void CallerIngress::setMemory(std::shared_ptr<ProcessMemory> memory)
+{
+    m_impl->setMemory(std::move(memory));
+}
+
 std::optional<std::uint16_t> CallerIngress::listen(const Address &address, Reason &reason)
 {
     return m_impl->listen(address, reason);
--- a/modules/adapters/src/gateway/IngressSession.cpp
+++ b/modules/adapters/src/gateway/IngressSession.cpp
@@ -8,7 +8,10 @@
 #include <boost/beast/http/status.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <utility>
 
 namespace oleander {
@@ -21,9 +24,23 @@
 
 namespace {
 
-constexpr std::size_t readSize = std::size_t{8} * 1024;
-/// Bytes of further requests that are taken in while one is answered.
-constexpr std::size_t readAhead = std::size_t{64} * 1024;
+constexpr std::size_t readSize = std::size_t{16} * 1024;
+/// Bytes of one request that may wait until more of it comes: its head, or the head of a chunk.
+constexpr std::size_t unparsedLimit = std::size_t{64} * 1024;
+/// Bytes of further requests that are taken in while one is answered. Callers that wait for each
+/// answer send none.
+constexpr std::size_t readAhead = std::size_t{16} * 1024;
+/// Send buffer of the system for one connection. Larger answers get a larger one while little
+/// memory is held.
+constexpr std::size_t sendBufferBytes = std::size_t{16} * 1024;
+/// The largest buffer that one connection gets: at a delay of 3 ms to callers it allows 87 MB a
+/// second.
+constexpr std::size_t largestBufferBytes = std::size_t{256} * 1024;
+/// A session's parser with the fields of a usual request.
+constexpr std::size_t parserBytes = 2048;
+/// Seconds after which refused callers may come again. Connections that hold much memory are closed
+/// at once; callers honour at most a third of the time they have left, of 250 ms at least.
+constexpr const char *memoryRetryAfter = "0.05";
 
 /// Callers that wait longer are taken to wait so long; larger numbers would overflow a duration.
 constexpr milliseconds longestCallerTimeout = std::chrono::hours(24);
@@ -68,6 +85,11 @@
     : m_shared(std::move(shared))
     , m_socket(std::move(socket))
     , m_waitingSince(m_shared->timer.now())
+    , m_progressAt(m_waitingSince)
+    , m_unfinished(m_shared->memory, MemoryHolder::UnfinishedRequests)
+    , m_underWay(m_shared->memory, MemoryHolder::RequestsUnderWay)
+    , m_ahead(m_shared->memory, MemoryHolder::ReadAhead)
+    , m_unread(m_shared->memory, MemoryHolder::Answers)
 {
 }
 
@@ -75,6 +97,7 @@
 {
     error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
     read();
 }
 
@@ -89,6 +112,12 @@
         call->onCallerDisconnected();
     error_code ignored;
     m_socket.close(ignored);
+    m_parser.reset();
+    m_in = {};
+    m_unfinished.set(0);
+    m_underWay.set(0);
+    m_ahead.set(0);
+    m_unread.set(0);
     m_shared->whenClosed(*this);
 }
 
@@ -96,6 +125,8 @@
 {
     const gateway::CallerLimits &limits = m_shared->limits;
     const Duration waited = now - m_waitingSince;
+    if (m_phase != Phase::Closed && !m_isWriting && m_unread.bytes() > 0)
+        chargeUnread();
     if ((m_phase == Phase::Idle && !m_isWriting && waited > limits.idleTimeout)
         || (m_phase == Phase::Receiving && waited > limits.headerTimeout)) {
         close();
@@ -105,37 +136,65 @@
     }
 }
 
+HeldConnection IngressSession::held(TimePoint now) const
+{
+    const TimePoint begun = m_isWriting || m_unread.bytes() > 0 ? m_writingSince : m_waitingSince;
+    return {m_unfinished.bytes() + m_ahead.bytes() + m_unread.bytes(), now - begun,
+            now - m_progressAt};
+}
+
 void IngressSession::read()
 {
-    if (m_isReading || m_phase == Phase::Closed || m_in.size() >= readAhead)
+    const std::size_t limit = m_phase == Phase::Answering ? readAhead : unparsedLimit;
+    if (m_isReading || m_phase == Phase::Closed || m_in.size() >= limit)
         return;
     m_isReading = true;
-    m_socket.async_read_some(
-        m_in.prepare(readSize),
-        [self = shared_from_this()](const error_code &error, std::size_t count) {
-            self->onRead(error, count);
-        });
+    // Waiting needs no buffer, so that idle connections hold none.
+    m_socket.async_wait(
+        asio::socket_base::wait_read,
+        [self = shared_from_this()](const error_code &error) { self->onReadable(error); });
 }
 
-void IngressSession::onRead(const error_code &error, std::size_t count)
+void IngressSession::onReadable(const error_code &error)
 {
     m_isReading = false;
     if (m_phase == Phase::Closed)
         return;
-    if (error) {
+    thread_local std::array<char, readSize> buffer;
+    error_code failure = error;
+    std::size_t count = 0;
+    if (!failure)
+        count = m_socket.read_some(asio::buffer(buffer), failure);
+    if (failure == asio::error::would_block) {
+        read();
+        return;
+    }
+    if (failure) {
         close();
         return;
     }
-    m_in.commit(count);
+    m_progressAt = m_shared->timer.now();
     if (m_isClosing) {
-        m_in.clear();
         read();
         return;
     }
+    take(asio::buffer(buffer.data(), count));
+}
+
+void IngressSession::take(asio::const_buffer bytes)
+{
+    m_in.commit(asio::buffer_copy(m_in.prepare(bytes.size()), bytes));
     if (m_phase == Phase::Answering)
         read();
     else
         parse();
+    if (m_phase == Phase::Closed)
+        return;
+    if (m_in.size() == 0)
+        m_in.shrink_to_fit();
+    chargeReading();
+    if (m_shared->memory)
+        m_shared->memory->reclaim();
 }
 
 void IngressSession::parse()
@@ -148,6 +207,7 @@
         m_phase = Phase::Receiving;
         m_waitingSince = m_shared->timer.now();
         m_wasContinueSent = false;
+        m_isAdmitted = false;
         m_parser.emplace();
         m_parser->eager(true);
         m_parser->header_limit(static_cast<std::uint32_t>(m_shared->limits.headerBytes));
@@ -170,19 +230,44 @@
         refuseMalformed(http::error::bad_transfer_encoding);
         return;
     }
+    if (m_parser->is_header_done() && !m_isAdmitted && !admit())
+        return;
     if (m_parser->is_done()) {
         onRequest();
         return;
     }
     if (m_parser->is_header_done())
         onHeader();
-    if (m_in.size() >= readAhead) {
+    if (m_in.size() >= unparsedLimit) {
         refuseMalformed(http::error::header_limit);
         return;
     }
     read();
 }
 
+/// Decides whether the body may be read. False when it was refused or the connection was closed.
+bool IngressSession::admit()
+{
+    m_isAdmitted = true;
+    const auto stated = m_parser->content_length();
+    const std::size_t bodyBytes =
+        m_parser->chunked() ? m_shared->limits.bodyBytes : stated.value_or(0);
+    if (!m_shared->memory || bodyBytes == 0)
+        return true;
+    // The length of a chunked body is not known; it is charged as it grows.
+    const std::size_t bytes = m_parser->chunked() ? parserBytes : bodyBytes;
+    const bool hasRoom = m_shared->memory->makeRoom(MemoryHolder::UnfinishedRequests, bytes);
+    if (m_phase == Phase::Closed)
+        return false;
+    if (!hasRoom) {
+        refuseForMemory();
+        return false;
+    }
+    if (!m_parser->is_done())
+        enlargeReceiveBuffer(bodyBytes);
+    return true;
+}
+
 void IngressSession::onHeader()
 {
     const auto expectation = m_parser->get()[http::field::expect];
@@ -199,6 +284,19 @@
 void IngressSession::onRequest()
 {
     ++m_shared->counts.requests;
+    // The copy that is sent to a server needs as much again.
+    const std::size_t bytes = 2 * (m_parser->get().body().size() + parserBytes);
+    m_unfinished.set(0);
+    const bool hasRoom =
+        !m_shared->memory || m_shared->memory->makeRoom(MemoryHolder::RequestsUnderWay, bytes);
+    if (m_phase == Phase::Closed)
+        return;
+    if (!hasRoom) {
+        refuseForMemory();
+        return;
+    }
+    m_underWay.set(bytes);
+    restoreReceiveBuffer();
     m_phase = Phase::Answering;
     auto message = m_parser->release();
     m_parser.reset();
@@ -228,6 +326,30 @@
     read();
 }
 
+/// Refuses a request that was not passed on.
+void IngressSession::refuseForMemory()
+{
+    m_requestId = RequestId(std::string(m_parser->get()[m_shared->names.requestId]));
+    m_isHead = m_parser->get().method() == http::verb::head;
+    const bool isKept = m_parser->is_done() && m_parser->keep_alive();
+    m_shared->memory->countRefusal();
+    refuse({gateway::statusUnavailable,
+            {{"Retry-After", memoryRetryAfter}},
+            "request refused: too much memory is in use\n"},
+           isKept);
+}
+
+void IngressSession::refuse(const CallerAnswer &answer, bool isKept)
+{
+    m_parser.reset();
+    m_phase = Phase::Answering;
+    m_isClosing = !isKept;
+    ++m_requestNumber;
+    restoreReceiveBuffer();
+    chargeReading();
+    write(answer);
+}
+
 void IngressSession::refuseMalformed(const error_code &error)
 {
     ++m_shared->counts.malformed;
@@ -236,18 +358,15 @@
         status = gateway::statusHeaderTooLarge;
     else if (error == http::error::body_limit)
         status = gateway::statusTooLarge;
-    m_parser.reset();
-    m_phase = Phase::Answering;
-    m_isClosing = true;
     m_isHead = false;
     m_requestId = RequestId();
-    ++m_requestNumber;
-    write({status, {}, "request refused: " + error.message() + "\n"});
+    refuse({status, {}, "request refused: " + error.message() + "\n"}, false);
 }
 
 void IngressSession::answer(const CallerAnswer &answer)
 {
     m_call.reset();
+    m_underWay.set(0);
     write(answer);
 }
 
@@ -278,6 +397,9 @@
         text += answer.body;
     m_isWriting = true;
     m_writingSince = m_shared->timer.now();
+    m_progressAt = m_writingSince;
+    fitSendBuffer();
+    m_unread.set(m_out.capacity() + m_sendBuffer);
     asio::async_write(m_socket, asio::buffer(m_out),
                       [self = shared_from_this()](const error_code &error, std::size_t) {
                           self->onWritten(error);
@@ -293,6 +415,8 @@
         close();
         return;
     }
+    m_out = {};
+    chargeUnread();
     m_waitingSince = m_shared->timer.now();
     if (m_isClosing) {
         discardUntilClosed();
@@ -300,6 +424,10 @@
     }
     m_phase = Phase::Idle;
     parse();
+    if (m_phase != Phase::Closed)
+        chargeReading();
+    if (m_shared->memory)
+        m_shared->memory->reclaim();
 }
 
 void IngressSession::discardUntilClosed()
@@ -308,8 +436,66 @@
     error_code ignored;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     m_phase = Phase::Receiving;
-    m_in.clear();
+    m_in = {};
+    chargeReading();
     read();
 }
 
+// Memory
+
+void IngressSession::enlargeReceiveBuffer(std::size_t bodyBytes)
+{
+    const std::size_t bytes = std::min(bodyBytes, largestBufferBytes);
+    if (bytes <= receiveBufferBytes || !m_shared->memory->isAmple())
+        return;
+    error_code ignored;
+    m_socket.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), ignored);
+    m_receiveBuffer = bytes;
+}
+
+void IngressSession::restoreReceiveBuffer()
+{
+    if (m_receiveBuffer == receiveBufferBytes)
+        return;
+    error_code ignored;
+    m_receiveBuffer = receiveBufferBytes;
+    m_socket.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(m_receiveBuffer)),
+                        ignored);
+}
+
+void IngressSession::fitSendBuffer()
+{
+    if (!m_shared->memory)
+        return;
+    const std::size_t wanted = std::clamp(m_out.size(), sendBufferBytes, largestBufferBytes);
+    const std::size_t bytes = m_shared->memory->isAmple() ? wanted : sendBufferBytes;
+    if (bytes == m_sendBuffer)
+        return;
+    error_code ignored;
+    m_sendBuffer = bytes;
+    m_socket.set_option(asio::socket_base::send_buffer_size(static_cast<int>(bytes)), ignored);
+}
+
+/// Charges the part of an answer that the system holds until the caller takes it.
+void IngressSession::chargeUnread()
+{
+    int bytes = 0;
+    if (!m_shared->memory || ::ioctl(m_socket.native_handle(), SIOCOUTQ, &bytes) != 0)
+        bytes = 0;
+    m_unread.set(static_cast<std::size_t>(std::max(bytes, 0)));
+}
+
+/// Charges what was read, and the system's buffer where it is larger than each connection's.
+void IngressSession::chargeReading()
+{
+    const std::size_t buffered = m_in.capacity() + m_receiveBuffer - receiveBufferBytes;
+    if (m_phase == Phase::Receiving && m_parser) {
+        m_unfinished.set(buffered + m_parser->get().body().capacity() + parserBytes);
+        m_ahead.set(0);
+        return;
+    }
+    m_unfinished.set(0);
+    m_ahead.set(m_in.size() == 0 ? 0 : buffered);
+}
+
 } // namespace oleander
--- a/modules/adapters/src/gateway/IngressSession.h
+++ b/modules/adapters/src/gateway/IngressSession.h
@@ -4,6 +4,7 @@
 #include "concurrency/GrowingStringBody.h"
 
 #include <oleander/adapters/gateway/CallerIngress.h>
+#include <oleander/adapters/resources/ProcessMemory.h>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -23,13 +24,16 @@
     IngressHandler handler;
     gateway::CallerLimits limits;
     IngressCounts counts;
+    /// Null if what sessions hold is not limited.
+    std::shared_ptr<ProcessMemory> memory;
     bool isStopping = false;
     /// Called when a session has closed its connection.
     std::function<void(IngressSession &)> whenClosed;
 };
 
 /// One caller's connection.
-class IngressSession : public std::enable_shared_from_this<IngressSession>
+class IngressSession : public std::enable_shared_from_this<IngressSession>,
+                       public EvictableConnection
 {
 public:
     IngressSession(std::shared_ptr<IngressShared> shared, boost::asio::ip::tcp::socket socket);
@@ -41,6 +45,10 @@
     /// sent none.
     void closeIfOverdue(TimePoint now);
 
+    // EvictableConnection
+    [[nodiscard]] HeldConnection held(TimePoint now) const override;
+    void evict() override { close(); }
+
     /// A request is being answered.
     [[nodiscard]] bool isBusy() const { return m_phase == Phase::Answering || m_isWriting; }
     /// Bytes of a request are there, but not the whole.
@@ -53,16 +61,27 @@
     using Parser = boost::beast::http::request_parser<GrowingStringBody>;
 
     void read();
-    void onRead(const boost::system::error_code &error, std::size_t count);
+    void onReadable(const boost::system::error_code &error);
+    void take(boost::asio::const_buffer bytes);
     void parse();
+    bool admit();
     void onHeader();
     void onRequest();
+    void refuseForMemory();
+    void refuse(const gateway::CallerAnswer &answer, bool isKept);
     void refuseMalformed(const boost::system::error_code &error);
     void answer(const gateway::CallerAnswer &answer);
     void write(const gateway::CallerAnswer &answer);
     void onWritten(const boost::system::error_code &error);
     void discardUntilClosed();
 
+    // Memory
+    void enlargeReceiveBuffer(std::size_t bodyBytes);
+    void restoreReceiveBuffer();
+    void fitSendBuffer();
+    void chargeUnread();
+    void chargeReading();
+
     std::shared_ptr<IngressShared> m_shared;
     boost::asio::ip::tcp::socket m_socket;
     boost::beast::flat_buffer m_in;
@@ -77,6 +96,15 @@
     bool m_isClosing = false;
     bool m_isHead = false;
     bool m_wasContinueSent = false;
+    bool m_isAdmitted = false;
+    /// When bytes last moved on the connection.
+    TimePoint m_progressAt{};
+    std::size_t m_receiveBuffer = receiveBufferBytes;
+    std::size_t m_sendBuffer = 0;
+    MemoryCharge m_unfinished;
+    MemoryCharge m_underWay;
+    MemoryCharge m_ahead;
+    MemoryCharge m_unread;
     /// Number of the present request, so that answers to earlier ones are dropped.
     std::uint64_t m_requestNumber = 0;
     std::shared_ptr<gateway::Call> m_call;
--- a/modules/adapters/tests/gateway/CallerIngressTest.cpp
+++ b/modules/adapters/tests/gateway/CallerIngressTest.cpp
@@ -28,16 +28,28 @@
     return names;
 }
 
+struct NoLog : EventLog
+{
+    void record(EventId, const RequestId &, std::string_view) override {}
+    void record(EventId, const RequestId &, Fields) override {}
+};
+
 /// Sends bytes of a caller and returns what comes back until the gateway closes the connection.
-std::string responseTo(const std::string &sent)
+/// What callers may hold follows from `machineBytes`, if given.
+std::string responseTo(const std::string &sent, std::size_t machineBytes = 0)
 {
     asio::io_context context;
     AsioTimerService timer(context);
-    CallerIngress ingress(
-        context, timer, headerNames(),
-        [](const std::shared_ptr<const gateway::CallerRequest> &, const gateway::AnswerCallback &) {
-            return std::shared_ptr<gateway::Call>();
-        });
+    NoLog log;
+    int requests = 0;
+    CallerIngress ingress(context, timer, headerNames(),
+                          [&requests](const std::shared_ptr<const gateway::CallerRequest> &,
+                                      const gateway::AnswerCallback &) {
+                              ++requests;
+                              return std::shared_ptr<gateway::Call>();
+                          });
+    if (machineBytes > 0)
+        ingress.setMemory(std::make_shared<ProcessMemory>(machineBytes, timer, log));
     Reason reason;
     const auto port = ingress.listen({"127.0.0.1", 0}, reason);
     if (!port)
@@ -61,9 +73,27 @@
     const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
     while (!isClosed && std::chrono::steady_clock::now() < until)
         context.run_one_for(std::chrono::milliseconds(100));
+    EXPECT_EQ(requests, 0);
     return received;
 }
 
+// Guards against bodies that are read without room for them, and against a refusal that claims
+// that a request was not run though it was passed on.
+TEST(CallerIngress, BodyWithoutRoomInMemoryIsRefusedBeforeItIsPassedOn)
+{
+    constexpr std::size_t machineBytes = std::size_t{4} * 50'000;
+    const std::string received =
+        responseTo("POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nContent-Length: 60000\r\n\r\n",
+                   machineBytes);
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 503 ")) << received;
+    EXPECT_NE(received.find("Retry-After: "), std::string::npos) << received;
+    EXPECT_NE(received.find("Request-Id: r\r\n"), std::string::npos) << received;
+    const std::string whole =
+        "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 20000\r\n\r\n";
+    EXPECT_TRUE(
+        responseTo(whole + std::string(20'000, 'x'), machineBytes).starts_with("HTTP/1.1 503 "));
+}
+
 TEST(CallerIngress, AbsurdContentLengthIsRefused)
 {
     const std::string received =
--- a/modules/core/include/oleander/core/Event.h
+++ b/modules/core/include/oleander/core/Event.h
@@ -57,6 +57,7 @@
     PeerLost = 501,
     PeerRefused = 502,
     CallerProtocolError = 600,
+    MemoryShortage = 601,
 };
 
 enum class EventSeverity { Info, Warning, Error };
--- a/modules/core/src/Event.cpp
+++ b/modules/core/src/Event.cpp
@@ -93,6 +93,8 @@
               "a peer was refused for its version, fleet or key"},
     EventInfo{EventId::CallerProtocolError, Info, "CallerProtocolError",
               "a caller sent a malformed request"},
+    EventInfo{EventId::MemoryShortage, Warning, "MemoryShortage",
+              "connections were closed or requests refused to stay within the memory limit"},
 };
 
 } // namespace
