One memory budget for all listeners of a gateway

The gateway gives its budget to the callers' listener, the pages of readiness and metrics, and the peers' listener, and makes the allocator return large blocks. Pages take 64 connections and close the one that waits longest for another; they kept 32 MB of bodies each and refused when full. A peer without the key is cut off after 16 refused streams: the refusals waited in memory.

--- a/modules/adapters/include/oleander/adapters/callers/HttpLimits.h
+++ b/modules/adapters/include/oleander/adapters/callers/HttpLimits.h
@@ -11,6 +11,11 @@
 struct HttpLimits
 {
     std::size_t maximumConnections = 1024;
+    /// Whether a connection beyond that closes the one that has waited longest for a request or the
+    /// rest of one, instead of being refused.
+    bool isLongestWaitingClosed = false;
+    /// Receive buffer of the system for each connection; 0 for the system's default.
+    std::size_t receiveBufferBytes = 0;
     std::size_t maximumHeadBytes = 8192;
     std::size_t maximumBodyBytes = 262144;
     /// Bytes of bodies that may be held over all connections.
@@ -33,6 +38,8 @@
     std::uint64_t requests = 0;
     std::uint64_t protocolErrors = 0;
     std::uint64_t refusedConnections = 0;
+    /// Connections closed to make room for others.
+    std::uint64_t evictedConnections = 0;
 };
 
 } // namespace oleander
--- a/modules/adapters/include/oleander/adapters/operators/OperatorServer.h
+++ b/modules/adapters/include/oleander/adapters/operators/OperatorServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <oleander/adapters/callers/HttpLimits.h>
+#include <oleander/adapters/resources/ProcessMemory.h>
 #include <oleander/core/Reason.h>
 
 #include <cstdint>
@@ -39,7 +40,8 @@
 {
 public:
     /// The context must outlive the server.
-    explicit OperatorServer(boost::asio::io_context &context, HttpLimits limits = {});
+    explicit OperatorServer(boost::asio::io_context &context, HttpLimits limits = {},
+                            std::shared_ptr<ProcessMemory> memory = nullptr);
     OperatorServer(const OperatorServer &) = delete;
     OperatorServer &operator=(const OperatorServer &) = delete;
     ~OperatorServer();
--- a/modules/adapters/include/oleander/adapters/peers/Http2PeerNetwork.h
+++ b/modules/adapters/include/oleander/adapters/peers/Http2PeerNetwork.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <oleander/adapters/peers/PeerIdentity.h>
+#include <oleander/adapters/resources/ProcessMemory.h>
 #include <oleander/core/Reason.h>
 #include <oleander/ports/EventLog.h>
 #include <oleander/ports/PeerNetwork.h>
@@ -57,6 +58,9 @@
     Http2PeerNetwork &operator=(const Http2PeerNetwork &) = delete;
     ~Http2PeerNetwork() override;
 
+    /// Charges messages that are being read to `memory`. Must be called before listen().
+    void setMemory(std::shared_ptr<ProcessMemory> memory);
+
     // Listening
     /// Starts to accept peers on an IP address and port; port 0 lets the system choose a free port.
     /// Returns the port.
--- a/modules/adapters/src/callers/HttpServer.cpp
+++ b/modules/adapters/src/callers/HttpServer.cpp
@@ -21,11 +21,14 @@
 
 } // namespace
 
-HttpServer::HttpServer(asio::io_context &context, HttpHandler &handler, HttpLimits limits)
+HttpServer::HttpServer(asio::io_context &context, HttpHandler &handler, HttpLimits limits,
+                       std::shared_ptr<ProcessMemory> memory)
     : m_context(context)
     , m_handler(handler)
     , m_limits(limits)
     , m_timer(context)
+    , m_memory(std::move(memory))
+    , m_charge(m_memory, MemoryHolder::Pages)
 {
 }
 
@@ -39,7 +42,9 @@
 
 std::optional<std::uint16_t> HttpServer::listen(const std::string &address, Reason &reason)
 {
-    m_acceptor = listenOn(m_context, address, reason);
+    ListenOptions options;
+    options.receiveBufferBytes = m_limits.receiveBufferBytes;
+    m_acceptor = listenOn(m_context, address, reason, options);
     if (!m_acceptor)
         return std::nullopt;
     accept();
@@ -93,7 +98,8 @@
 
 void HttpServer::takeOn(tcp::socket socket)
 {
-    if (m_sessions.size() >= m_limits.maximumConnections) {
+    const bool isFull = m_sessions.size() >= m_limits.maximumConnections;
+    if (isFull && !(m_limits.isLongestWaitingClosed && closeLongestWaiting())) {
         refuseConnection(std::move(socket));
         return;
     }
@@ -104,6 +110,20 @@
     session->start();
 }
 
+bool HttpServer::closeLongestWaiting()
+{
+    std::shared_ptr<HttpSession> longest;
+    for (const auto &[key, session] : m_sessions) {
+        if (session->isWaiting() && (!longest || session->waitingSince() < longest->waitingSince()))
+            longest = session;
+    }
+    if (!longest)
+        return false;
+    ++m_statistics.evictedConnections;
+    longest->evict();
+    return true;
+}
+
 void HttpServer::refuseConnection(tcp::socket socket)
 {
     ++m_statistics.refusedConnections;
@@ -137,12 +157,24 @@
 
 bool HttpServer::reserveBody(std::size_t bytes)
 {
-    if (m_bodyBytes + bytes > m_limits.maximumBodyBytesInAll)
+    if (bytes > m_limits.maximumBodyBytesInAll
+        || m_bodyBytes > m_limits.maximumBodyBytesInAll - bytes)
         return false;
+    if (m_memory && !m_memory->makeRoom(MemoryHolder::Pages, bytes)) {
+        m_memory->countRefusal();
+        return false;
+    }
     m_bodyBytes += bytes;
+    m_charge.set(m_bodyBytes);
     return true;
 }
 
+void HttpServer::releaseBody(std::size_t bytes)
+{
+    m_bodyBytes -= bytes;
+    m_charge.set(m_bodyBytes);
+}
+
 void HttpServer::onSessionEnded(HttpSession &session)
 {
     m_sessions.erase(&session);
--- a/modules/adapters/src/callers/HttpServer.h
+++ b/modules/adapters/src/callers/HttpServer.h
@@ -3,6 +3,8 @@
 #include "callers/HttpSession.h"
 #include "concurrency/Listening.h"
 
+#include <oleander/adapters/resources/ProcessMemory.h>
+
 #include <functional>
 #include <unordered_map>
 
@@ -14,7 +16,9 @@
 {
 public:
     /// The context and the handler must outlive the server.
-    HttpServer(boost::asio::io_context &context, HttpHandler &handler, HttpLimits limits);
+    /// Bodies are charged to `memory`, if there is one, beside the server's own limits.
+    HttpServer(boost::asio::io_context &context, HttpHandler &handler, HttpLimits limits,
+               std::shared_ptr<ProcessMemory> memory = nullptr);
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
     /// Closes everything at once.
@@ -33,6 +37,7 @@
     void onAccepted(const boost::system::error_code &error, boost::asio::ip::tcp::socket socket);
     void acceptLater();
     void takeOn(boost::asio::ip::tcp::socket socket);
+    bool closeLongestWaiting();
     void refuseConnection(boost::asio::ip::tcp::socket socket);
     void acceptWaiting();
     void closeIdleSessions();
@@ -44,7 +49,7 @@
     HttpStatistics &statistics() override { return m_statistics; }
     bool isStopping() const override { return m_isStopping; }
     bool reserveBody(std::size_t bytes) override;
-    void releaseBody(std::size_t bytes) override { m_bodyBytes -= bytes; }
+    void releaseBody(std::size_t bytes) override;
     void onSessionEnded(HttpSession &session) override;
 
     boost::asio::io_context &m_context;
@@ -55,6 +60,8 @@
     boost::asio::steady_timer m_timer;
     std::unordered_map<HttpSession *, std::shared_ptr<HttpSession>> m_sessions;
     std::size_t m_bodyBytes = 0;
+    std::shared_ptr<ProcessMemory> m_memory;
+    MemoryCharge m_charge;
     bool m_isStopping = false;
     std::function<void()> m_whenEnded;
     /// Expires with the server; guards handlers that Asio still holds.
--- a/modules/adapters/src/callers/HttpSession.cpp
+++ b/modules/adapters/src/callers/HttpSession.cpp
@@ -1,5 +1,7 @@
 #include "callers/HttpSession.h"
 
+#include <oleander/adapters/time/SteadyTime.h>
+
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
@@ -96,11 +98,17 @@
     m_stream.cancel();
 }
 
+void HttpSession::evict()
+{
+    end();
+}
+
 // Reading
 
 void HttpSession::awaitRequest()
 {
     m_state = State::Idle;
+    m_waitingSince = steadyNow();
     m_parser.reset();
     m_response.reset();
     if (m_buffer.size() > 0) {
@@ -302,6 +310,7 @@
 void HttpSession::write(HttpResponse response, bool isKept)
 {
     m_state = State::Writing;
+    m_waitingSince = steadyNow();
     m_isKept = isKept;
     releaseBody();
     m_response.emplace(static_cast<http::status>(response.status), m_httpVersion);
--- a/modules/adapters/src/callers/HttpSession.h
+++ b/modules/adapters/src/callers/HttpSession.h
@@ -44,6 +44,12 @@
     void close();
     /// Closes when there is no request under way. Used at the end of a planned stop's grace.
     void closeIfIdle();
+    /// Closes, whatever is under way, and tells the owner.
+    void evict();
+    /// The next bytes have to come from the client.
+    [[nodiscard]] bool isWaiting() const { return m_state != State::Handling; }
+    /// When the wait for the present request, or the writing of its response, began.
+    [[nodiscard]] TimePoint waitingSince() const { return m_waitingSince; }
 
 private:
     class Exchange;
@@ -86,6 +92,7 @@
     std::optional<Response> m_response;
     std::shared_ptr<Exchange> m_exchange;
     State m_state = State::Idle;
+    TimePoint m_waitingSince{};
     bool m_isKept = false;
     unsigned m_httpVersion = 11;
     std::size_t m_reservedBytes = 0;
--- a/modules/adapters/src/operators/OperatorServer.cpp
+++ b/modules/adapters/src/operators/OperatorServer.cpp
@@ -27,8 +27,8 @@
 class OperatorServer::Impl : public HttpHandler
 {
 public:
-    Impl(boost::asio::io_context &context, HttpLimits limits)
-        : m_server(context, *this, limits)
+    Impl(boost::asio::io_context &context, HttpLimits limits, std::shared_ptr<ProcessMemory> memory)
+        : m_server(context, *this, limits, std::move(memory))
     {
     }
 
@@ -80,8 +80,9 @@
     HttpServer m_server;
 };
 
-OperatorServer::OperatorServer(boost::asio::io_context &context, HttpLimits limits)
-    : m_impl(std::make_unique<Impl>(context, limits))
+OperatorServer::OperatorServer(boost::asio::io_context &context, HttpLimits limits,
+                               std::shared_ptr<ProcessMemory> memory)
+    : m_impl(std::make_unique<Impl>(context, limits, std::move(memory)))
 {
     addPage("/healthz", [](const std::string &) { return OperatorPage{.body = "ok\n"}; });
 }
--- a/modules/adapters/src/peers/Http2PeerNetwork.cpp
+++ b/modules/adapters/src/peers/Http2PeerNetwork.cpp
@@ -143,6 +143,7 @@
     }
 
     void setHandler(PeerHandler *newHandler) { m_handler = newHandler; }
+    void setMemory(std::shared_ptr<ProcessMemory> memory) { m_memory = std::move(memory); }
 
 private:
     struct Call
@@ -234,6 +235,7 @@
 
     // Incoming sessions
 
+    const std::shared_ptr<ProcessMemory> &memory() const override { return m_memory; }
     PeerHandler *handler() override { return m_isStopping ? nullptr : m_handler; }
 
     void accept()
@@ -334,6 +336,7 @@
     }
 
     PeerHandler *m_handler = nullptr;
+    std::shared_ptr<ProcessMemory> m_memory;
     asio::io_context &m_context;
     TimerService &m_timers;
     EventLog &m_log;
@@ -399,6 +402,11 @@
     m_impl->setHandler(handler);
 }
 
+void Http2PeerNetwork::setMemory(std::shared_ptr<ProcessMemory> memory)
+{
+    m_impl->setMemory(std::move(memory));
+}
+
 void Http2PeerNetwork::beginStop()
 {
     m_impl->beginStop();
--- a/modules/adapters/src/peers/Http2Transport.cpp
+++ b/modules/adapters/src/peers/Http2Transport.cpp
@@ -79,7 +79,8 @@
     {
         if (!transport(data).m_isClosed && frame->headers.cat == NGHTTP2_HCAT_REQUEST)
             transport(data).m_listener->onStreamBegun(frame->hd.stream_id);
-        return 0;
+        // What was received behind the frame that closed the connection is not read.
+        return transport(data).m_isClosed ? NGHTTP2_ERR_CALLBACK_FAILURE : 0;
     }
 
     static int onHeader(nghttp2_session *, const nghttp2_frame *frame, const std::uint8_t *name,
--- a/modules/adapters/src/peers/PeerServerSession.cpp
+++ b/modules/adapters/src/peers/PeerServerSession.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t maximumBufferedBytes = 16777216;
 /// Streams that may be opened before the proof: the greeting and the proof itself.
 constexpr int maximumUnauthenticatedStreams = 2;
+/// Further streams before the proof that are refused. After that the connection is closed, since
+/// refusals wait in memory when the other side does not read them.
+constexpr int maximumRefusedStreams = 16;
 
 template <typename Headers>
 std::string headerOf(const Headers &headers, std::string_view name)
@@ -78,6 +81,7 @@
     : m_transport(std::make_shared<Http2Transport>(std::move(socket), Http2Transport::Role::Server,
                                                    static_cast<Http2Listener &>(*this)))
     , m_owner(&owner)
+    , m_charge(owner.memory(), MemoryHolder::PeerMessages)
     , m_startedAt(steadyNow())
     , m_address(m_transport->remoteAddress())
 {
@@ -94,6 +98,7 @@
         return;
     m_isClosed = true;
     m_transport->close();
+    m_charge.set(0);
     cancelAll();
 }
 
@@ -129,6 +134,14 @@
 void PeerServerSession::onStreamBegun(Http2StreamId id)
 {
     if (!m_isAuthenticated && ++m_unauthenticatedStreams > maximumUnauthenticatedStreams) {
+        if (m_unauthenticatedStreams > maximumUnauthenticatedStreams + maximumRefusedStreams) {
+            const auto self = shared_from_this();
+            const std::string why = "too many requests before the proof";
+            m_owner->onServerRefused(*this, why);
+            close();
+            m_owner->onServerEnded(*this, why);
+            return;
+        }
         m_transport->resetStream(id, NGHTTP2_REFUSED_STREAM);
         return;
     }
@@ -153,9 +166,9 @@
     if (found == m_streams.end())
         return;
     std::string &body = found->second.body;
-    const bool isTooLarge = !m_isAuthenticated
-                            || body.size() + bytes.size() > maximumPeerMessageBytes
-                            || m_bufferedBytes + bytes.size() > maximumBufferedBytes;
+    const bool isTooLarge =
+        !m_isAuthenticated || body.size() + bytes.size() > maximumPeerMessageBytes
+        || m_bufferedBytes + bytes.size() > maximumBufferedBytes || !hasRoomFor(bytes.size());
     if (isTooLarge) {
         dropBody(found->second);
         m_streams.erase(found);
@@ -163,6 +176,7 @@
         return;
     }
     m_bufferedBytes += bytes.size();
+    m_charge.set(m_bufferedBytes);
     body += bytes;
 }
 
@@ -293,9 +307,19 @@
         answer(id, protocol::statusOk, std::move(body));
 }
 
+bool PeerServerSession::hasRoomFor(std::size_t bytes) const
+{
+    const auto &memory = m_owner->memory();
+    if (!memory || memory->makeRoom(MemoryHolder::PeerMessages, bytes))
+        return true;
+    memory->countRefusal();
+    return false;
+}
+
 void PeerServerSession::dropBody(Stream &stream)
 {
     m_bufferedBytes -= stream.body.size();
+    m_charge.set(m_bufferedBytes);
     stream.body = {};
 }
 
--- a/modules/adapters/src/peers/PeerServerSession.h
+++ b/modules/adapters/src/peers/PeerServerSession.h
@@ -4,6 +4,7 @@
 #include "peers/PeerAuthentication.h"
 
 #include <oleander/adapters/peers/PeerIdentity.h>
+#include <oleander/adapters/resources/ProcessMemory.h>
 #include <oleander/ports/PeerNetwork.h>
 
 #include <map>
@@ -22,6 +23,8 @@
     virtual ~PeerServerOwner() = default;
 
     virtual const PeerIdentity &identity() const = 0;
+    /// What messages that are being read are charged to; may be null.
+    virtual const std::shared_ptr<ProcessMemory> &memory() const = 0;
     /// Returns the handler for requests; null if requests must be refused.
     virtual PeerHandler *handler() = 0;
     virtual void onServerAuthenticated(PeerServerSession &session) = 0;
@@ -79,6 +82,7 @@
     void answer(Http2StreamId id, std::string_view status, std::string text);
     void refusePeer(Http2StreamId id, std::string_view status, const std::string &why);
     void sendReply(Http2StreamId id, const PeerReply &reply);
+    [[nodiscard]] bool hasRoomFor(std::size_t bytes) const;
     void dropBody(Stream &stream);
     void cancelAll();
 
@@ -87,6 +91,7 @@
     PeerGreeting m_greeting;
     std::unordered_map<Http2StreamId, Stream> m_streams;
     std::size_t m_bufferedBytes = 0;
+    MemoryCharge m_charge;
     int m_unauthenticatedStreams = 0;
     TimePoint m_startedAt;
     std::string m_address;
--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -7,6 +7,8 @@
 #include <oleander/adapters/metrics/PrometheusText.h>
 #include <oleander/adapters/operators/OperatorServer.h>
 #include <oleander/adapters/peers/Http2PeerNetwork.h>
+#include <oleander/adapters/resources/MemoryMetrics.h>
+#include <oleander/adapters/resources/ProcessMemory.h>
 #include <oleander/adapters/time/AsioTimerService.h>
 #include <oleander/adapters/time/SeededRandom.h>
 #include <oleander/daemon/GatewayDaemon.h>
@@ -83,6 +85,20 @@
     });
 }
 
+constexpr std::size_t megabyte = std::size_t{1024} * 1024;
+
+/// Limits on the pages of operators, which are asked for by few clients and need no body.
+HttpLimits pageLimits()
+{
+    HttpLimits limits;
+    limits.maximumConnections = 64;
+    limits.isLongestWaitingClosed = true;
+    limits.receiveBufferBytes = receiveBufferBytes;
+    limits.maximumBodyBytes = 4096;
+    limits.maximumBodyBytesInAll = 65536;
+    return limits;
+}
+
 gateway::FollowerTiming paceOf(const GatewaySettings &settings)
 {
     gateway::FollowerTiming pace;
@@ -104,6 +120,8 @@
         , m_timer(m_context)
         , m_random(SeededRandom::unpredictable())
         , m_log(STDOUT_FILENO, m_settings.instance.text(), m_timer)
+        , m_memory(std::make_shared<ProcessMemory>(
+              static_cast<std::size_t>(m_settings.memoryMb) * megabyte, m_timer, m_log))
         , m_links(m_context, m_platform.headers)
         , m_fleet(m_links, m_timer, m_random, m_log, m_policy, m_settings.dataCentre)
         , m_gateway(m_fleet, m_timer, m_random, m_log, m_policy, m_platform.gatheredFields)
@@ -141,11 +159,15 @@
         , m_beacon(
               m_context, m_timer, [this](const InstanceId &caller) { return beaconNews(caller); },
               [this](const BeaconNews &news, const std::string &number) { onBeacon(news, number); })
-        , m_pages(m_context)
-        , m_metrics(m_context)
+        , m_pages(m_context, pageLimits(), m_memory)
+        , m_metrics(m_context, pageLimits(), m_memory)
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     {
         std::signal(SIGPIPE, SIG_IGN);
+        returnFreedMemory();
+        m_links.setMaximumHeldBytes(m_memory->limits().replies);
+        m_ingress.setMemory(m_memory);
+        m_peers.setMemory(m_memory);
         m_pages.addPage(m_platform.readinessPath,
                         [this](const std::string &) { return readinessPage(); });
         m_metrics.addPage("/metrics", [this](const std::string &) { return metricsPage(); });
@@ -352,7 +374,7 @@
         const auto number = [](auto value) { return static_cast<double>(value); };
         const gateway::GatewayCounts &counts = m_gateway.counts();
         const IngressCounts &ingress = m_ingress.counts();
-        const UnlabelledMetric counters[] = {
+        std::vector<UnlabelledMetric> counters = {
             {"answers_total", "Answers with a server's reply or gathered parts.",
              number(counts.answered)},
             {"answers_partial_total", "Gathered answers that lack shards.", number(counts.partial)},
@@ -384,7 +406,7 @@
              number(m_log.droppedLineCount())},
         };
         const Duration age = m_follower.age().value_or(Duration{});
-        const UnlabelledMetric gauges[] = {
+        std::vector<UnlabelledMetric> gauges = {
             {"ready", "Whether callers are taken.", isReady() ? 1.0 : 0.0},
             {"configuration_version", "Version of the configuration in force.",
              m_gateway.routes() ? number(m_gateway.routes()->version().value()) : 0.0},
@@ -407,6 +429,7 @@
             {"instances", "Instances of the fleet that were heard of.",
              number(m_fleetSize.estimate().value_or(1))},
         };
+        appendMemoryMetrics(*m_memory, counters, gauges);
         OperatorPage page;
         page.body = prometheusText(counters, gauges, m_latencies);
         return page;
@@ -485,6 +508,7 @@
     AsioTimerService m_timer;
     SeededRandom m_random;
     JsonEventLog m_log;
+    std::shared_ptr<ProcessMemory> m_memory;
     AsioServerLinks m_links;
     gateway::ServerFleet m_fleet;
     gateway::Gateway m_gateway;
