Idle connections to servers hold no buffers

Each connection to a server kept a read buffer of 8 KB and a copy of the last request with its body; the busiest instances have some 1,800 connections. The copy is freed when it is written, and waiting for a reply needs no buffer. adapters_tests (127) and platform_tests (25) pass.

--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -140,6 +140,8 @@
         asio::async_write(m_socket, asio::buffer(m_out),
                           [self = shared_from_this()](const error_code &error, std::size_t) {
                               self->m_isWriting = false;
+                              // Bodies are large, and a connection may be idle for long.
+                              self->m_out = {};
                               // The reader learns of the same failure, after a reply that may
                               // have come before it.
                               if (error && error != asio::error::operation_aborted)
@@ -169,24 +171,41 @@
             close(LinkEnd::NotOpened);
             return;
         }
+        error_code ignored;
+        m_socket.non_blocking(true, ignored);
         read();
         m_listener->onOpened();
     }
 
     void read()
     {
-        m_socket.async_read_some(
-            m_in.prepare(readSize),
-            [self = shared_from_this()](const error_code &error, std::size_t count) {
-                self->onRead(error, count);
-            });
+        // Waiting needs no buffer, so that idle connections hold none.
+        m_socket.async_wait(
+            asio::socket_base::wait_read,
+            [self = shared_from_this()](const error_code &error) { self->onReadable(error); });
     }
 
-    void onRead(const error_code &error, std::size_t count)
+    void onReadable(error_code error)
     {
         if (!m_listener)
             return;
-        m_in.commit(count);
+        thread_local std::array<char, readSize> buffer;
+        std::size_t count = 0;
+        if (!error)
+            count = m_socket.read_some(asio::buffer(buffer), error);
+        if (error == asio::error::would_block) {
+            read();
+            return;
+        }
+        const auto bytes = asio::buffer(buffer.data(), count);
+        m_in.commit(asio::buffer_copy(m_in.prepare(count), bytes));
+        onRead(error, count);
+        if (m_in.size() == 0)
+            m_in.shrink_to_fit();
+    }
+
+    void onRead(const error_code &error, std::size_t count)
+    {
         if (error) {
             onEnd(error);
             return;
