--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -126,11 +126,12 @@
 {
 public:
     Connection(asio::io_context &context, const HeaderNames &names,
-               gateway::ServerLinkListener &listener, std::shared_ptr<std::size_t> heldBytes)
+               gateway::ServerLinkListener &listener,
+               std::shared_ptr<AsioServerLinks::HeldReplies> heldByAll)
         : m_socket(context)
         , m_names(names)
         , m_listener(&listener)
-        , m_heldByAll(std::move(heldBytes))
+        , m_heldByAll(std::move(heldByAll))
     {
     }
     Connection(const Connection &) = delete;
@@ -169,6 +170,8 @@
         asio::async_write(m_socket, asio::buffer(m_out),
                           [self = shared_from_this()](const error_code &error, std::size_t) {
                               self->m_isWriting = false;
+                              // Bodies are large, and a connection may be idle for long.
+                              self->m_out = {};
                               // The reader learns of the same failure, after a reply that may
                               // have come before it.
                               if (error && error != asio::error::operation_aborted)
@@ -198,24 +201,41 @@
             close(LinkEnd::NotOpened);
             return;
         }
+        error_code ignored;
+        m_socket.non_blocking(true, ignored);
         read();
         m_listener->onOpened();
     }
 
     void read()
     {
-        m_socket.async_read_some(
-            m_in.prepare(readSize),
-            [self = shared_from_this()](const error_code &error, std::size_t count) {
-                self->onRead(error, count);
-            });
+        // Waiting needs no buffer, so that idle connections hold none.
+        m_socket.async_wait(
+            asio::socket_base::wait_read,
+            [self = shared_from_this()](const error_code &error) { self->onReadable(error); });
     }
 
-    void onRead(const error_code &error, std::size_t count)
+    void onReadable(error_code error)
     {
         if (!m_listener)
             return;
-        m_in.commit(count);
+        thread_local std::array<char, readSize> buffer;
+        std::size_t count = 0;
+        if (!error)
+            count = m_socket.read_some(asio::buffer(buffer), error);
+        if (error == asio::error::would_block) {
+            read();
+            return;
+        }
+        const auto bytes = asio::buffer(buffer.data(), count);
+        m_in.commit(asio::buffer_copy(m_in.prepare(count), bytes));
+        onRead(error, count);
+        if (m_in.size() == 0)
+            m_in.shrink_to_fit();
+    }
+
+    void onRead(const error_code &error, std::size_t count)
+    {
         if (error) {
             onEnd(error);
             return;
@@ -236,14 +256,14 @@
     /// Counts the bytes of an unfinished reply. False if there is no room for them.
     bool hold(std::size_t count)
     {
-        if (*m_heldByAll + count > AsioServerLinks::maximumHeldBytes)
+        if (m_heldByAll->bytes + count > m_heldByAll->limit)
             return false;
         m_held += count;
-        *m_heldByAll += count;
+        m_heldByAll->bytes += count;
         return true;
     }
 
-    void releaseHeld() { *m_heldByAll -= std::exchange(m_held, 0); }
+    void releaseHeld() { m_heldByAll->bytes -= std::exchange(m_held, 0); }
 
     void onEnd(const error_code &error)
     {
@@ -393,7 +413,7 @@
     int m_skippedReplies = 0;
     /// Bytes of the unfinished reply, and those of all connections.
     std::size_t m_held = 0;
-    std::shared_ptr<std::size_t> m_heldByAll;
+    std::shared_ptr<AsioServerLinks::HeldReplies> m_heldByAll;
     std::string m_out;
     beast::flat_buffer m_in;
     std::shared_ptr<const gateway::CallerRequest> m_request;
@@ -434,7 +454,7 @@
 std::unique_ptr<gateway::ServerLink> AsioServerLinks::open(const Address &address,
                                                            gateway::ServerLinkListener &listener)
 {
-    auto connection = std::make_shared<Connection>(m_context, m_names, listener, m_heldBytes);
+    auto connection = std::make_shared<Connection>(m_context, m_names, listener, m_held);
     connection->open(address);
     return std::make_unique<Link>(std::move(connection));
 }
--- a/modules/adapters/src/gateway/CallerIngress.cpp
+++ b/modules/adapters/src/gateway/CallerIngress.cpp
@@ -15,6 +15,9 @@
 
 /// How often connections are looked through for those that have waited too long.
 constexpr Duration overduePeriod = milliseconds(500);
+/// Connections that are accepted beside the first before others have their turn. With one at a time
+/// callers wait for a thousand others to be read.
+constexpr int furtherAccepts = 32;
 /// Pause after a failed accept, for example for want of descriptors.
 constexpr Duration acceptPause = milliseconds(50);
 
@@ -25,7 +28,7 @@
 public:
     Impl(asio::io_context &context, TimerService &timer, HeaderNames names, IngressHandler handler)
         : m_shared(std::make_shared<IngressShared>(
-            IngressShared{timer, std::move(names), std::move(handler), {}, {}, false, {}}))
+            IngressShared{timer, std::move(names), std::move(handler), {}, {}, nullptr, false, {}}))
         , m_context(context)
         , m_acceptor(context)
     {
@@ -34,14 +37,32 @@
 
     void setMaximumConnections(std::size_t maximum) { m_maximum = maximum; }
 
+    void setMemory(std::shared_ptr<ProcessMemory> memory)
+    {
+        m_shared->memory = std::move(memory);
+        m_shared->memory->addSource([weak = weak_from_this()](EvictableConnections &connections) {
+            if (const auto self = weak.lock()) {
+                for (const auto &[key, session] : self->m_sessions)
+                    connections.push_back(session);
+            }
+        });
+    }
+
     std::optional<std::uint16_t> listen(const Address &address, Reason &reason)
     {
         // Two gateways must never share the callers of one port unnoticed.
-        auto opened = listenOn(m_context, addressText(address), reason,
-                               {false, asio::socket_base::max_listen_connections});
+        ListenOptions options{false, asio::socket_base::max_listen_connections, 0};
+        if (m_shared->memory) {
+            options.backlog = static_cast<int>(m_shared->memory->limits().backlog);
+            options.receiveBufferBytes = receiveBufferBytes;
+            m_maximum = std::min(m_maximum, m_shared->memory->limits().connections);
+        }
+        auto opened = listenOn(m_context, addressText(address), reason, options);
         if (!opened)
             return std::nullopt;
         m_acceptor = std::move(*opened);
+        error_code ignored;
+        m_acceptor.non_blocking(true, ignored);
         m_overdue = m_shared->timer.callEvery(overduePeriod, [this](const TimerTick &tick) {
             forEachSession(
                 [&tick](IngressSession &session) { session.closeIfOverdue(tick.fired); });
@@ -112,23 +133,39 @@
                 m_shared->timer.callAfter(acceptPause, [this](const TimerTick &) { accept(); });
             return;
         }
+        takeOn(std::move(socket));
+        error_code failure;
+        for (int further = 0; further < furtherAccepts && !failure; ++further) {
+            tcp::socket next(m_context);
+            m_acceptor.accept(next, failure);
+            if (!failure)
+                takeOn(std::move(next));
+        }
+        accept();
+    }
+
+    void takeOn(tcp::socket socket)
+    {
         ++m_shared->counts.accepted;
-        if (m_sessions.size() >= m_maximum)
-            makeRoom();
+        if (m_sessions.size() >= m_maximum && !makeRoom()) {
+            ++m_shared->counts.evicted;
+            return;
+        }
         auto session = std::make_shared<IngressSession>(m_shared, std::move(socket));
         m_sessions.emplace(session.get(), session);
         session->start();
-        accept();
     }
 
-    /// Closes the connection that has waited longest for the rest of a request, or, when there is
-    /// none, the one that has been idle for longest.
-    void makeRoom()
+    /// Closes the connection that has waited longest for the rest of a request that has stalled,
+    /// or, when there is none, the one that has waited longest for a request or its rest, or else
+    /// the one that holds most bytes beside its request. False if there is none of them.
+    bool makeRoom()
     {
         std::shared_ptr<IngressSession> victim;
-        const auto isBetter = [](const IngressSession &left, const IngressSession &right) {
-            if (left.isReceiving() != right.isReceiving())
-                return left.isReceiving();
+        const TimePoint now = m_shared->timer.now();
+        const auto isBetter = [now](const IngressSession &left, const IngressSession &right) {
+            if (left.isStalled(now) != right.isStalled(now))
+                return left.isStalled(now);
             return left.waitingSince() < right.waitingSince();
         };
         for (const auto &[key, session] : m_sessions) {
@@ -136,9 +173,25 @@
                 victim = session;
         }
         if (!victim)
-            return;
+            victim = costliestBusySession();
+        if (!victim)
+            return false;
         ++m_shared->counts.evicted;
         victim->close();
+        return true;
+    }
+
+    [[nodiscard]] std::shared_ptr<IngressSession> costliestBusySession() const
+    {
+        std::vector<std::shared_ptr<IngressSession>> sessions;
+        std::vector<HeldConnection> held;
+        const TimePoint now = m_shared->timer.now();
+        for (const auto &[key, session] : m_sessions) {
+            sessions.push_back(session);
+            held.push_back(session->held(now));
+        }
+        const auto chosen = chooseEvicted(held, 1);
+        return chosen.empty() ? nullptr : sessions[chosen.front()];
     }
 
     std::shared_ptr<IngressShared> m_shared;
@@ -171,6 +224,11 @@
     m_impl->setMaximumConnections(maximum);
 }
 
+void CallerIngress::setMemory(std::shared_ptr<ProcessMemory> memory)
+{
+    m_impl->setMemory(std::move(memory));
+}
+
 std::optional<std::uint16_t> CallerIngress::listen(const Address &address, Reason &reason)
 {
     return m_impl->listen(address, reason);
--- a/modules/adapters/tests/gateway/CallerIngressTest.cpp
+++ b/modules/adapters/tests/gateway/CallerIngressTest.cpp
@@ -28,16 +28,40 @@
     return names;
 }
 
+/// Shows the time that a test sets and calls nobody, so that no pause of the machine is seen.
+struct SetTimer : TimerService
+{
+    TimePoint time = TimePoint{} + seconds(100);
+
+    [[nodiscard]] TimePoint now() const override { return time; }
+    [[nodiscard]] WallTime wallNow() const override { return {}; }
+    Subscription callAfter(Duration, TimerCallback) override { return {}; }
+    Subscription callEvery(Duration, TimerCallback) override { return {}; }
+    void post(std::function<void()>) override {}
+};
+
+struct NoLog : EventLog
+{
+    void record(EventId, const RequestId &, std::string_view) override {}
+    void record(EventId, const RequestId &, Fields) override {}
+};
+
 /// Sends bytes of a caller and returns what comes back until the gateway closes the connection.
-std::string responseTo(const std::string &sent)
+/// What callers may hold follows from `machineBytes`, if given.
+std::string responseTo(const std::string &sent, std::size_t machineBytes = 0)
 {
     asio::io_context context;
     AsioTimerService timer(context);
-    CallerIngress ingress(
-        context, timer, headerNames(),
-        [](const std::shared_ptr<const gateway::CallerRequest> &, const gateway::AnswerCallback &) {
-            return std::shared_ptr<gateway::Call>();
-        });
+    NoLog log;
+    int requests = 0;
+    CallerIngress ingress(context, timer, headerNames(),
+                          [&requests](const std::shared_ptr<const gateway::CallerRequest> &,
+                                      const gateway::AnswerCallback &) {
+                              ++requests;
+                              return std::shared_ptr<gateway::Call>();
+                          });
+    if (machineBytes > 0)
+        ingress.setMemory(std::make_shared<ProcessMemory>(machineBytes, timer, log));
     Reason reason;
     const auto port = ingress.listen({"127.0.0.1", 0}, reason);
     if (!port)
@@ -61,9 +85,27 @@
     const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
     while (!isClosed && std::chrono::steady_clock::now() < until)
         context.run_one_for(std::chrono::milliseconds(100));
+    EXPECT_EQ(requests, 0);
     return received;
 }
 
+// Guards against bodies that are read without room for them, and against a refusal that claims
+// that a request was not run though it was passed on.
+TEST(CallerIngress, BodyWithoutRoomInMemoryIsRefusedBeforeItIsPassedOn)
+{
+    constexpr std::size_t machineBytes = std::size_t{4} * 50'000;
+    const std::string received =
+        responseTo("POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nContent-Length: 60000\r\n\r\n",
+                   machineBytes);
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 503 ")) << received;
+    EXPECT_NE(received.find("Retry-After: "), std::string::npos) << received;
+    EXPECT_NE(received.find("Request-Id: r\r\n"), std::string::npos) << received;
+    const std::string whole =
+        "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 20000\r\n\r\n";
+    EXPECT_TRUE(
+        responseTo(whole + std::string(20'000, 'x'), machineBytes).starts_with("HTTP/1.1 503 "));
+}
+
 TEST(CallerIngress, AbsurdContentLengthIsRefused)
 {
     const std::string received =
@@ -143,6 +185,50 @@
 }
 
 // Guards against a number that overflows, so that a patient caller is refused for lack of time.
+// Guards against clients that open all connections and send nothing, so that each caller that is
+// sending a body is closed in their stead.
+TEST(CallerIngress, CallerThatSendsABodyKeepsItsConnectionWhenIdleOnesCome)
+{
+    asio::io_context context;
+    SetTimer timer;
+    int requests = 0;
+    CallerIngress ingress(context, timer, headerNames(),
+                          [&requests](const std::shared_ptr<const gateway::CallerRequest> &,
+                                      const gateway::AnswerCallback &) {
+                              ++requests;
+                              return std::shared_ptr<gateway::Call>();
+                          });
+    ingress.setMaximumConnections(3);
+    Reason reason;
+    const auto port = ingress.listen({"127.0.0.1", 0}, reason);
+    ASSERT_TRUE(port) << reason.text;
+    std::vector<tcp::socket> idle;
+    const auto connect = [&] {
+        timer.time += milliseconds(1);
+        tcp::socket socket(context);
+        socket.connect({asio::ip::make_address("127.0.0.1"), *port});
+        const std::uint64_t accepted = ingress.counts().accepted;
+        for (int turn = 0; turn < 100 && ingress.counts().accepted == accepted; ++turn)
+            context.run_one_for(std::chrono::milliseconds(10));
+        return socket;
+    };
+    const auto runUntil = [&](const std::function<bool()> &isDone) {
+        for (int turn = 0; turn < 1000 && !isDone(); ++turn)
+            context.run_one_for(std::chrono::milliseconds(10));
+    };
+    idle.push_back(connect());
+    tcp::socket sender = connect();
+    asio::write(sender, asio::buffer(std::string(
+                            "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n")));
+    runUntil([&] { return ingress.busyConnections() == 1; });
+    idle.push_back(connect());
+    idle.push_back(connect());
+    EXPECT_EQ(ingress.counts().evicted, 1U);
+    asio::write(sender, asio::buffer(std::string("body")));
+    runUntil([&] { return requests == 1; });
+    EXPECT_EQ(requests, 1);
+}
+
 TEST(CallerIngress, AbsurdTimeoutIsALongOne)
 {
     for (const char *timeout :
