Findings of the linter and of a Release build in the new code

With -O3, GCC 12 took "[" + std::to_string() in JsonPosition.cpp for an overlapping copy. Change: as the linter says; the path steps come from elementPath() and memberPath().

--- a/modules/adapters/tests/fuzz/RequestFuzzTest.cpp
+++ b/modules/adapters/tests/fuzz/RequestFuzzTest.cpp
@@ -99,7 +99,7 @@
 public:
     FuzzedIngress()
         : m_ingress(m_context, m_timer, names(),
-                    [this](std::shared_ptr<const gateway::CallerRequest> request,
+                    [this](const std::shared_ptr<const gateway::CallerRequest> &request,
                            const gateway::AnswerCallback &answer) {
                         handled.push_back(*request);
                         m_timer.post([answer] { answer({200, {}, "ok"}); });
@@ -247,6 +247,7 @@
     fuzz::checkSeeded("valid requests", 150, [&] {
         std::vector<SentRequest> sent(1 + fuzz::indexBelow(4));
         std::vector<Turn> turns;
+        turns.reserve(sent.size());
         for (SentRequest &request : sent)
             turns.push_back({fuzz::cutIntoPieces(validRequest(request)), 1});
         RC_ASSERT(ingress.exchange(turns).has_value());
--- a/modules/settings/src/JsonPosition.cpp
+++ b/modules/settings/src/JsonPosition.cpp
@@ -82,7 +82,7 @@
                 nlohmann::json::parse(m_text.substr(place, m_at - place)).get<std::string>();
             skipSpace();
             skipMark();
-            const std::string step = "." + key;
+            const std::string step = memberPath("", key);
             const std::string_view rest =
                 path.starts_with(step) ? path.substr(step.size()) : std::string_view();
             if (path.starts_with(step) && (rest.empty() || rest[0] == '.' || rest[0] == '[')) {
@@ -100,7 +100,7 @@
     {
         skipMark();
         for (std::size_t index = 0; m_text[m_at] != ']'; ++index) {
-            const std::string step = "[" + std::to_string(index) + "]";
+            const std::string step = elementPath("", index);
             if (path.starts_with(step)) {
                 path.remove_prefix(step.size());
                 return m_at;
--- a/modules/tool/src/policy/DocumentComparison.cpp
+++ b/modules/tool/src/policy/DocumentComparison.cpp
@@ -46,6 +46,7 @@
             changes[key] = {key.first, key.second, "", value};
     }
     std::vector<ChangedField> result;
+    result.reserve(changes.size());
     for (auto &[key, change] : changes)
         result.push_back(std::move(change));
     return result;
@@ -58,6 +59,7 @@
         return;
     }
     std::vector<std::vector<std::string>> rows{{"ENTRY", "FIELD", "OLD", "NEW"}};
+    rows.reserve(changes.size() + 1);
     for (const ChangedField &change : changes)
         rows.push_back({change.entry, change.field, change.before.empty() ? "-" : change.before,
                         change.after.empty() ? "-" : change.after});
