Hold back requests of lower priorities while servers are busy

Cause: every request was sent at once and servers execute in the order of arrival, so urgent requests waited behind searches in the servers' queues.

Change: DispatchOrder decides how many requests of a lower priority a server may hold, from the objective of the higher priority and the usual times of execution; DispatchQueue holds the others of one service, ordered by priority, by whether the objective can still be met, and by arrival. Replies, closed connections and a timer release them. The highest priority in use and services with a single priority are served as before. One in twenty sends goes to a lower priority that waits.

--- a/modules/gateway/include/oleander/gateway/Attempt.h
+++ b/modules/gateway/include/oleander/gateway/Attempt.h
@@ -47,6 +47,8 @@
     Duration usualLatency{};
     /// Records the latency of every reply, even if the caller no longer needs the result.
     std::shared_ptr<LatencyWindow> latencies;
+    /// Records the latency of replies to requests that found a free slot, so without waiting.
+    std::shared_ptr<LatencyWindow> executions;
     /// Called once with the result, and never synchronously from submit(). Cleared when the result
     /// is no longer needed.
     std::function<void(AttemptResult)> onFinished;
@@ -54,6 +56,8 @@
     /// The server that holds the attempt, null once the attempt has finished.
     BackendServer *server = nullptr;
     bool isSent = false;
+    /// Whether the server was expected to have a free slot for it.
+    bool hasFoundSlot = false;
     TimePoint sentAt{};
 
     [[nodiscard]] bool isWanted() const { return static_cast<bool>(onFinished); }
--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -11,6 +11,7 @@
 #include <oleander/ports/TimerService.h>
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -74,6 +75,11 @@
     /// Called when the evacuation of the server's data centre begins or ends. Requests that were
     /// not sent move to other servers.
     void setEvacuated(bool isEvacuated);
+    /// `onRoomChanged` is called when a request at the server has ended. It must not call back.
+    void setRoomListener(std::function<void()> onRoomChanged)
+    {
+        m_onRoomChanged = std::move(onRoomChanged);
+    }
     /// Called when the server is no longer registered. Running requests finish, and no new ones
     /// start.
     void retire();
@@ -138,6 +144,7 @@
     bool m_isLeaving = false;
     /// Another server answered at this address.
     bool m_isAddressReused = false;
+    std::function<void()> m_onRoomChanged = [] {};
     std::vector<std::unique_ptr<Connection>> m_connections;
     std::deque<AttemptPtr> m_waiting;
     /// Trials of the requests under which the server closed its connections, until it is known
--- a/modules/gateway/include/oleander/gateway/GatewayPolicy.h
+++ b/modules/gateway/include/oleander/gateway/GatewayPolicy.h
@@ -71,6 +71,9 @@
     /// that has used up its share of a processor, since a request that is executed by two
     /// coordinators may reach more servers than permitted.
     Duration coordinatorResponseTime = milliseconds(250);
+    /// Whether requests of lower priorities are held back while servers are busy, so that those of
+    /// the highest priority find short queues.
+    bool isLoadControlled = true;
     /// Maximum number of gathered requests that this instance coordinates for others at a time.
     std::size_t coordinatedGathers = 128;
 };
--- a/modules/gateway/include/oleander/gateway/ServerFleet.h
+++ b/modules/gateway/include/oleander/gateway/ServerFleet.h
@@ -2,6 +2,7 @@
 
 #include <oleander/decisions/request/LatencyWindow.h>
 #include <oleander/gateway/BackendServer.h>
+#include <oleander/gateway/DispatchQueue.h>
 #include <oleander/gateway/RouteTable.h>
 #include <oleander/ports/RandomSource.h>
 
@@ -27,6 +28,8 @@
     std::vector<BackendServer *> keptConnected;
     /// True when requests for this service are parts of gathered requests.
     bool isShard = false;
+    /// Requests that wait here for room at the servers.
+    std::shared_ptr<DispatchQueue> dispatch;
 
     [[nodiscard]] bool hasUsableServer() const;
     /// Time until a usable server that is not ejected accepts a request.
--- a/modules/gateway/include/oleander/gateway/ServiceCall.h
+++ b/modules/gateway/include/oleander/gateway/ServiceCall.h
@@ -36,6 +36,11 @@
     /// Typical latency, and the window that records new latencies.
     Duration usualLatency{};
     std::shared_ptr<LatencyWindow> latencies;
+    /// Time that the route's objective permits for the whole request.
+    Duration objective{};
+    /// Typical latency at a server that has a free slot, and the window that records it.
+    Duration usualExecution{};
+    std::shared_ptr<LatencyWindow> executions;
 };
 
 /// Result of a call to a service.
@@ -53,6 +58,7 @@
 /// server confirmed that it did not execute the request, after an idempotent request failed, or
 /// when an idempotent request is unusually slow. Extra attempts are taken from the service's
 /// budget; when the budget is exhausted or no server is available, the call waits and tries again.
+/// While requests of a higher priority are in use, the request waits until a server has room.
 ///
 /// At most `maximumAttempts` servers may execute the request.
 class ServiceCall : public std::enable_shared_from_this<ServiceCall>
@@ -80,7 +86,17 @@
     [[nodiscard]] int attempts() const { return m_sentCount; }
 
 private:
+    /// Sends the request, or lets it wait for room. Returns false if it can be sent nowhere now.
     bool sendNext(bool mayReuseTried);
+    /// Sends the request that waited for room. Returns false if it is to wait on.
+    bool sendWaiting(bool mayReuseTried, bool isRegardlessOfRoom);
+    /// Sends to the server unless that takes an extra attempt that the budget does not permit.
+    bool sendWithinBudget(BackendServer &server);
+    [[nodiscard]] WaitingWork waitingWork() const;
+    /// Chooses among the servers that have room for a request of this priority. A server that would
+    /// miss the objective is left out while another one could meet it.
+    BackendServer *chooseServerWithRoom(bool mayReuseTried, Duration toleratedByHigher);
+    [[nodiscard]] Duration expectedLatency(const BackendServer &server) const;
     /// Returns true if the server is expected to answer in time. A hedge that would be late only
     /// occupies the server.
     [[nodiscard]] bool isWorthHedging(const BackendServer &server) const;
@@ -109,12 +125,14 @@
     std::vector<BackendServer *> m_triedServers;
     /// Servers that may have executed the request.
     std::vector<BackendServer *> m_possibleExecutors;
+    TimePoint m_arrived{};
     int m_retries = 0;
     bool m_isAwaitingVerdict = false;
     std::optional<ServerReply> m_failureReply;
     int m_sentCount = 0;
     bool m_wasSent = false;
     bool m_maybeRan = false;
+    DispatchTicket m_ticket;
     Subscription m_hedgeTimer;
     Subscription m_retryTimer;
 };
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -225,6 +225,7 @@
 void BackendServer::submit(const AttemptPtr &attempt)
 {
     attempt->server = this;
+    attempt->hasFoundSlot = hasFreeSlot(room());
     CrashGuard::onSubmitted(*attempt->trial);
     if (m_rateLimit)
         takeToken(*m_rateLimit, m_context.timer.now());
@@ -453,6 +454,7 @@
 {
     attempt->onFinished = nullptr;
     attempt->server = nullptr;
+    m_onRoomChanged();
     if (const auto trial = std::exchange(attempt->trial, nullptr))
         m_context.crashes.onEnded(*trial);
 }
@@ -467,6 +469,7 @@
 {
     recordResult(*attempt, result);
     attempt->server = nullptr;
+    m_onRoomChanged();
     if (const auto trial = std::exchange(attempt->trial, nullptr)) {
         if (result.outcome == AttemptOutcome::Replied)
             m_context.crashes.onReplied(*trial, m_registration.id, result.reply.status);
@@ -511,6 +514,8 @@
         }
         if (attempt.latencies)
             attempt.latencies->add(now - attempt.sentAt);
+        if (attempt.executions && attempt.hasFoundSlot)
+            attempt.executions->add(now - attempt.sentAt);
         noteReply(m_score, now - attempt.sentAt, attempt.usualLatency, now);
         return;
     }
--- a/modules/gateway/src/CallBase.cpp
+++ b/modules/gateway/src/CallBase.cpp
@@ -48,6 +48,7 @@
     , m_route(*m_terms.route)
     , m_trial(gateway.m_fleet.crashGuard().trialOf(*m_request))
     , m_latencies(gateway.routeState(m_route.id).latencies)
+    , m_executions(gateway.routeState(m_route.id).executions)
     , m_deadline(m_terms.deadline)
     , m_answer(std::move(answer))
 {
@@ -178,6 +179,10 @@
     plan.hedgeDelay = std::max({policy.minimumHedgeDelay, objectivePart,
                                 m_latencies->quantile(policy.hedgeQuantile, assumedLatency)});
     plan.latencies = m_latencies;
+    plan.objective = m_route.objective - policy.answerMargin;
+    // The median, since a few servers may be much slower than usual.
+    plan.usualExecution = m_executions->quantile(PerMille{500}, plan.usualLatency);
+    plan.executions = m_executions;
     return plan;
 }
 
--- a/modules/gateway/src/Calls.h
+++ b/modules/gateway/src/Calls.h
@@ -14,6 +14,8 @@
 struct Gateway::RouteState
 {
     std::shared_ptr<LatencyWindow> latencies = std::make_shared<LatencyWindow>();
+    /// Latencies of requests that found a free slot.
+    std::shared_ptr<LatencyWindow> executions = std::make_shared<LatencyWindow>();
     /// Credits of the weighted round robin over the route's services.
     std::vector<double> weightCredits;
 };
@@ -103,6 +105,7 @@
     const Route &m_route;
     std::shared_ptr<CrashTrial> m_trial;
     std::shared_ptr<LatencyWindow> m_latencies;
+    std::shared_ptr<LatencyWindow> m_executions;
     TimePoint m_deadline;
 
 private:
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -107,6 +107,7 @@
                           {"dataCentre", registration->dataCentre.text()},
                           {"isDraining", registration->isDraining}});
     ServicePool &newPool = pool(registration->service);
+    held->setRoomListener([dispatch = newPool.dispatch] { dispatch->onRoomChanged(); });
     newPool.servers.push_back(held.get());
     assignPreferredServers(newPool);
 }
@@ -259,6 +260,8 @@
     if (!held) {
         held = std::make_unique<ServicePool>();
         held->id = service;
+        held->dispatch =
+            std::make_shared<DispatchQueue>(m_context.timer, m_policy.isLoadControlled);
         held->extraBudget = ExtraBudget(m_processStart, unitInterval(m_random.next()));
     }
     return *held;
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -21,6 +21,8 @@
 void ServiceCall::start(Callback done)
 {
     m_done = std::move(done);
+    m_arrived = m_timer.now();
+    m_plan.pool->dispatch->noteRequest(waitingWork(), m_plan.objective);
     if (sendNext(false)) {
         scheduleHedge();
         return;
@@ -34,6 +36,7 @@
 void ServiceCall::abandon()
 {
     m_done = nullptr;
+    m_ticket = {};
     m_hedgeTimer.reset();
     m_retryTimer.reset();
     for (const AttemptPtr &attempt : m_running)
@@ -99,20 +102,104 @@
         awaitVerdict();
     if (decision == SendDecision::Wait || decision == SendDecision::Refuse)
         return false;
-    BackendServer *server = chooseServer(mayReuseTried, decision == SendDecision::SendAlone);
-    if (!server)
+    const bool isAlone = decision == SendDecision::SendAlone;
+    DispatchQueue &dispatch = *m_plan.pool->dispatch;
+    const auto tolerated = dispatch.toleratedByHigher(m_plan.priority);
+    if (!tolerated || isAlone || !m_running.empty()) {
+        BackendServer *server = chooseServer(mayReuseTried, isAlone);
+        return server && sendWithinBudget(*server);
+    }
+    if (!dispatch.isAnyBefore(waitingWork())) {
+        if (BackendServer *server = chooseServerWithRoom(mayReuseTried, *tolerated))
+            return sendWithinBudget(*server);
+    }
+    if (!chooseServer(mayReuseTried, false))
         return false;
+    m_ticket =
+        dispatch.add(waitingWork(), !m_triedServers.empty(),
+                     [weak = weak_from_this(), mayReuseTried](bool isRegardlessOfRoom) {
+                         const auto call = weak.lock();
+                         return !call || call->sendWaiting(mayReuseTried, isRegardlessOfRoom);
+                     });
+    return true;
+}
+
+bool ServiceCall::sendWaiting(bool mayReuseTried, bool isRegardlessOfRoom)
+{
+    // The request is answered at its deadline.
+    if (!maySend())
+        return true;
+    const SendDecision decision = m_fleet.crashGuard().decide(*m_plan.trial);
+    const bool isHeld = decision == SendDecision::Wait || decision == SendDecision::Refuse;
+    BackendServer *server = nullptr;
+    if (!isHeld) {
+        const auto tolerated = m_plan.pool->dispatch->toleratedByHigher(m_plan.priority);
+        const bool needsRoom = tolerated && !isRegardlessOfRoom;
+        server = needsRoom ? chooseServerWithRoom(mayReuseTried, *tolerated)
+                           : chooseServer(mayReuseTried, false);
+        if (!server && needsRoom && chooseServer(mayReuseTried, false))
+            return false;
+    }
+    m_ticket = {};
+    if (decision == SendDecision::Wait)
+        awaitVerdict();
+    if (server && sendWithinBudget(*server))
+        scheduleHedge();
+    else
+        retryLater();
+    return true;
+}
+
+bool ServiceCall::sendWithinBudget(BackendServer &server)
+{
     const bool isExtra = m_plan.isRerun || m_wasSent || !m_running.empty();
     const ExtraAttemptKind kind =
         m_running.empty() ? ExtraAttemptKind::Retry : ExtraAttemptKind::Hedge;
-    if (kind == ExtraAttemptKind::Hedge && !isWorthHedging(*server))
+    if (kind == ExtraAttemptKind::Hedge && !isWorthHedging(server))
         return false;
     if (isExtra && !m_fleet.takeExtra(*m_plan.pool, kind))
         return false;
-    sendTo(*server);
+    sendTo(server);
     return true;
 }
 
+WaitingWork ServiceCall::waitingWork() const
+{
+    return {m_plan.priority, m_arrived, m_plan.answerBy, m_plan.usualExecution};
+}
+
+BackendServer *ServiceCall::chooseServerWithRoom(bool mayReuseTried, Duration toleratedByHigher)
+{
+    const TimePoint now = m_timer.now();
+    std::vector<BackendServer *> excluded = excludedServers(mayReuseTried);
+    std::vector<BackendServer *> others;
+    Duration best = Duration::max();
+    for (BackendServer *server : m_plan.pool->servers) {
+        if (!server->isUsable() || server->isEjected()
+            || std::ranges::find(excluded, server) != excluded.end())
+            continue;
+        others.push_back(server);
+        best = std::min(best, expectedLatency(*server));
+    }
+    for (BackendServer *server : others) {
+        const ServerRoom room = server->room();
+        const int limit = fillLimit(room, toleratedByHigher, m_plan.usualExecution);
+        const Duration latency = expectedLatency(*server);
+        const bool isTooSlow =
+            latency > best && now + latency > m_plan.answerBy && now + best <= m_plan.answerBy;
+        if (isTooSlow || !hasRoomBelow(room, limit, m_plan.usualExecution))
+            excluded.push_back(server);
+    }
+    return m_fleet.choose(*m_plan.pool, excluded, m_plan.usualLatency);
+}
+
+Duration ServiceCall::expectedLatency(const BackendServer &server) const
+{
+    const double slowness = decayedSlowness(server.score(), m_timer.now());
+    return Duration(
+        static_cast<std::int64_t>(slowness * static_cast<double>(m_plan.usualLatency.count())));
+}
+
 BackendServer *ServiceCall::chooseServer(bool mayReuseTried, bool isAlone)
 {
     const std::vector<BackendServer *> excluded = excludedServers(mayReuseTried);
@@ -132,11 +219,7 @@
     if (!server.hasSpareCapacity())
         return false;
     // The objective is already missed, so any reply helps.
-    if (now >= m_plan.answerBy)
-        return true;
-    const double expected =
-        decayedSlowness(server.score(), now) * static_cast<double>(m_plan.usualLatency.count());
-    return expected <= static_cast<double>((m_plan.answerBy - now).count());
+    return now >= m_plan.answerBy || now + expectedLatency(server) <= m_plan.answerBy;
 }
 
 void ServiceCall::sendTo(BackendServer &server)
@@ -149,6 +232,7 @@
     attempt->deadline = m_plan.deadline;
     attempt->usualLatency = m_plan.usualLatency;
     attempt->latencies = m_plan.latencies;
+    attempt->executions = m_plan.executions;
     attempt->onFinished = [self = weak_from_this(), attemptPtr = attempt.get(),
                            &server](AttemptResult result) {
         const auto call = self.lock();
@@ -163,6 +247,7 @@
     };
     if (m_sentCount++ == 0 && !m_plan.isRerun)
         m_fleet.noteFirstAttempt(*m_plan.pool);
+    m_plan.pool->dispatch->noteSent(m_plan.priority);
     m_triedServers.push_back(&server);
     m_running.push_back(attempt);
     server.submit(attempt);
--- a/modules/gateway/tests/LoadPatternTest.cpp
+++ b/modules/gateway/tests/LoadPatternTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <sstream>
+
 using namespace oleander;
 using namespace oleander::gateway;
 using namespace oleander::gateway::testing;
@@ -311,4 +313,76 @@
     expectLimitsKept(largeDeployment(), {{0, 0}, {1, 1}, {2, 2}, {3, 0}}, 15, 0.5, 0.99);
 }
 
+/// Shares of the requests of the prioritized deployment that were answered in time, by path.
+struct InTimeShares
+{
+    double urgent = 0;
+    double search = 0;
+};
+
+/// Runs the prioritized deployment with each seed and applies `change` at `changeTime`.
+InTimeShares runPrioritized(const std::function<void(LoadSimulation &, std::mt19937_64 &)> &change)
+{
+    constexpr Duration length = seconds(11);
+    const LoadProfile profile = prioritizedDeployment();
+    InTimeShares shares;
+    std::ostringstream summary;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        LoadSimulation simulation(profile, coordinatedDeploymentPolicy(profile), seed);
+        std::mt19937_64 random(seed);
+        simulation.scheduleChange(changeTime, [&] { change(simulation, random); });
+        simulation.run(length + seconds(3));
+        for (const RequestStream &stream : profile.streams) {
+            const LoadResults results = simulation.results(stream.path, measuredFrom, length);
+            summary << stream.path << ": " << results.sent << " sent, " << results.inTime
+                    << " in time, " << results.late << " late, " << results.refused << " refused, "
+                    << results.failed << " failed; ";
+        }
+        const LoadResults urgent = simulation.results("/urgent/", measuredFrom, length);
+        const LoadResults search = simulation.results("/search/", measuredFrom, length);
+        shares.urgent += static_cast<double>(urgent.inTime) / urgent.sent / seeds;
+        shares.search += static_cast<double>(search.inTime) / search.sent / seeds;
+    }
+    ::testing::Test::RecordProperty("results", summary.str());
+    return shares;
+}
+
+/// Makes a fraction of the servers of shards slower by `factor`.
+void slowDown(LoadSimulation &simulation, std::mt19937_64 &random, double fraction, double factor)
+{
+    std::uniform_real_distribution<double> draw(0, 1);
+    for (int service = 0; service < simulation.profile().shards; ++service) {
+        for (int server = 0; server < simulation.profile().replicas; ++server) {
+            if (draw(random) < fraction)
+                simulation.servers().behaviour(addressOf(service, server)).slowdown = factor;
+        }
+    }
+}
+
+// Guards against urgent requests that wait in the servers' queues behind searches.
+TEST(LoadPattern, BurstOfFourOfAllRequestsWithThreeInTenServersFiveTimesSlower)
+{
+    const InTimeShares shares = runPrioritized([](LoadSimulation &simulation, auto &random) {
+        for (const RequestStream &stream : simulation.profile().streams)
+            simulation.setLoad(stream.path, 4);
+        slowDown(simulation, random, 0.3, 5);
+    });
+    EXPECT_GE(shares.urgent, 0.95);
+}
+
+TEST(LoadPattern, BurstOfSixOfTheSearches)
+{
+    const InTimeShares shares = runPrioritized(
+        [](LoadSimulation &simulation, auto &) { simulation.setLoad("/search/", 6); });
+    EXPECT_GE(shares.urgent, 0.95);
+}
+
+// The same deployment without a burst.
+TEST(LoadPattern, PrioritizedDeploymentWithoutFailures)
+{
+    const InTimeShares shares = runPrioritized([](LoadSimulation &, auto &) {});
+    EXPECT_GE(shares.urgent, 0.95);
+    EXPECT_GE(shares.search, 0.95);
+}
+
 } // namespace
--- a/modules/gateway/tests/support/LoadSimulation.cpp
+++ b/modules/gateway/tests/support/LoadSimulation.cpp
@@ -24,23 +24,22 @@
     GatewayConfiguration configuration = testConfiguration(profile.shards);
     for (ServiceDeclaration &service : configuration.services)
         service.connectionCap = profile.connectionCap;
+    const auto applyStream = [](Route &route, const char *id, const RequestStream &stream) {
+        route.id = RouteId(id);
+        route.prefix = stream.path;
+        route.objective = stream.latencyObjective;
+        route.timeout = stream.callerTimeout;
+        route.priority = stream.priority;
+    };
     Route search = configuration.routes[0];
-    search.id = RouteId("search");
-    search.prefix = "/search/";
+    applyStream(search, "search", profile.streams[0]);
     search.minimumShare = profile.searchMinimumShare;
-    search.priority = 1;
     Route urgent = search;
-    urgent.id = RouteId("urgent");
-    urgent.prefix = "/urgent/";
-    urgent.objective = milliseconds(80);
-    urgent.timeout = milliseconds(1200);
+    applyStream(urgent, "urgent", profile.streams[1]);
     urgent.minimumShare = profile.urgentMinimumShare;
     urgent.recordLimit = 5;
-    urgent.priority = 2;
     Route notes = configuration.routes[1];
-    notes.id = RouteId("notes");
-    notes.prefix = "/notes/";
-    notes.priority = 2;
+    applyStream(notes, "notes", profile.streams[2]);
     configuration.routes = {search, urgent, notes};
     return configuration;
 }
@@ -53,13 +52,25 @@
         std::chrono::duration<double, std::milli>(distribution(random)));
 }
 
-Duration executionTimeOf(const CallerRequest &request, std::mt19937_64 &random)
+Duration executionTimeOf(const LoadProfile &profile, const CallerRequest &request,
+                         std::mt19937_64 &random)
 {
-    if (request.target.starts_with("/search/"))
-        return logNormal(28, 0.35, random);
-    if (request.target.starts_with("/urgent/"))
-        return logNormal(9.2, 0.35, random);
-    return logNormal(220, 0.5, random);
+    const auto stream =
+        std::ranges::find_if(profile.streams, [&request](const RequestStream &candidate) {
+            return request.target.starts_with(candidate.path);
+        });
+    return logNormal(std::chrono::duration<double, std::milli>(stream->execution).count(),
+                     stream->executionVariation, random);
+}
+
+/// The Retry-After of a refusal.
+Duration retryAfterOf(const CallerAnswer &refusal)
+{
+    const auto field = std::ranges::find(refusal.fields, "Retry-After", &HttpField::name);
+    if (field == refusal.fields.end())
+        return {};
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(std::stod(field->value)));
 }
 
 } // namespace
@@ -73,18 +84,23 @@
     std::shared_ptr<ReceivedAnswer> received;
     bool isServed = false;
     bool isRefused = false;
+    /// Time at which the caller disconnects, if it does so early.
+    std::optional<TimePoint> leavesAt;
     Duration latency{};
     double shardShare = 0;
 };
 
 LoadSimulation::LoadSimulation(LoadProfile profile, GatewayPolicy policy, std::uint64_t seed)
     : m_profile(std::move(profile))
+    , m_loadFactors(m_profile.streams.size(), 1.0)
     , m_servers(m_scheduler, seed)
     , m_random(seed + 1)
 {
     if (!policy.instances)
         policy.instances = defaultInstances;
-    m_servers.executionTime = executionTimeOf;
+    m_servers.executionTime = [this](const CallerRequest &request, std::mt19937_64 &random) {
+        return executionTimeOf(m_profile, request, random);
+    };
     m_servers.handshakeTime = milliseconds(6);
     for (int number = 0; number < m_profile.instances; ++number) {
         m_instances.push_back(std::make_unique<CoordinatedInstance>(
@@ -111,7 +127,7 @@
     for (const auto &instance : m_instances)
         instance->delegation.onCoordinators(InstanceId("seed"), coordinators);
     for (int server = 0; server < notesServers; ++server)
-        m_servers.behaviour(addressOf(m_profile.shards, server)).slots = 4;
+        m_servers.behaviour(addressOf(m_profile.shards, server)).slots = m_profile.notesSlots;
     if (m_profile.pause > Duration{}) {
         for (int service = 0; service < m_profile.shards; ++service) {
             for (int server = 0; server < m_profile.replicas; ++server)
@@ -119,7 +135,7 @@
         }
     }
     m_scheduler.runFor(warmUpTime);
-    for (const RequestStream &stream : m_profile.streams)
+    for (std::size_t stream = 0; stream < m_profile.streams.size(); ++stream)
         scheduleNextRequest(stream);
 }
 
@@ -135,6 +151,16 @@
     m_mesh.kill(instance.description.id);
 }
 
+void LoadSimulation::setLoad(const std::string &path, double factor, double leavingShare)
+{
+    for (std::size_t number = 0; number < m_profile.streams.size(); ++number) {
+        if (m_profile.streams[number].path != path)
+            continue;
+        m_loadFactors[number] = factor;
+        m_profile.streams[number].leavingShare = leavingShare;
+    }
+}
+
 void LoadSimulation::run(Duration length)
 {
     m_scheduler.runFor(length);
@@ -145,7 +171,7 @@
     LoadResults results;
     for (const auto &request : m_requests) {
         const Duration time = request->sentAt - (TimePoint{} + warmUpTime);
-        if (request->stream.path != path || time < from || time >= until)
+        if (request->stream.path != path || request->leavesAt || time < from || time >= until)
             continue;
         ++results.sent;
         if (!request->isServed) {
@@ -167,15 +193,22 @@
     }));
 }
 
-void LoadSimulation::scheduleNextRequest(const RequestStream &stream)
+void LoadSimulation::scheduleNextRequest(std::size_t stream)
 {
+    const double perSecond = m_profile.streams[stream].requestsPerSecond * m_loadFactors[stream];
     const auto wait = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(exponentialDelay(stream.requestsPerSecond)));
+        std::chrono::duration<double>(exponentialDelay(perSecond)));
     m_scheduler.schedule(m_scheduler.now() + wait, [this, stream] {
         auto request = std::make_shared<Request>();
-        request->stream = stream;
+        request->stream = m_profile.streams[stream];
         request->sentAt = m_scheduler.now();
-        request->attemptsLeft = stream.retries + 1;
+        request->attemptsLeft = request->stream.retries + 1;
+        std::uniform_real_distribution<double> fraction(0, 1);
+        if (request->stream.leavingShare > 0 && fraction(m_random) < request->stream.leavingShare) {
+            request->leavesAt = m_scheduler.now()
+                                + std::chrono::duration_cast<Duration>(
+                                    request->stream.latencyObjective * fraction(m_random));
+        }
         m_requests.push_back(request);
         send(request);
         scheduleNextRequest(stream);
@@ -199,6 +232,11 @@
     constexpr Duration callerDelay = milliseconds(1);
     const auto &answer = request->received->answer;
     const Duration age = m_scheduler.now() - request->sentAt;
+    if (request->leavesAt && m_scheduler.now() >= *request->leavesAt) {
+        if (const auto call = std::exchange(request->received->call, nullptr))
+            call->onCallerDisconnected();
+        return;
+    }
     if (!answer && age < request->stream.callerTimeout) {
         m_scheduler.schedule(m_scheduler.now() + callerDelay,
                              [this, request] { pollForAnswer(request); });
@@ -207,7 +245,9 @@
     const bool isServed = answer && answer->status == 200;
     const bool isRefused = answer && answer->status == 503;
     if (!isServed && request->attemptsLeft > 0 && age < request->stream.callerTimeout) {
-        const Duration wait = isRefused ? milliseconds(400) : milliseconds(5);
+        const Duration left = request->stream.callerTimeout - age;
+        const Duration wait =
+            isRefused ? std::min(retryAfterOf(*answer), left / 3) : milliseconds(5);
         m_scheduler.schedule(m_scheduler.now() + wait, [this, request] { send(request); });
         return;
     }
@@ -239,9 +279,9 @@
 {
     LoadProfile profile;
     profile.streams = {
-        {"/search/", 74, seconds(3), milliseconds(200), 1},
-        {"/urgent/", 25, milliseconds(1200), milliseconds(80), 1},
-        {"/notes/", 25, seconds(15), milliseconds(800), 1},
+        {"/search/", 74, seconds(3), milliseconds(200), 1, milliseconds(28), 0.35, 1},
+        {"/urgent/", 25, milliseconds(1200), milliseconds(80), 1, microseconds(9200), 0.35, 2},
+        {"/notes/", 25, seconds(15), milliseconds(800), 1, milliseconds(220), 0.5, 2},
     };
     return profile;
 }
@@ -258,9 +298,31 @@
     profile.searchMinimumShare = 0.95;
     profile.urgentMinimumShare = 0.85;
     profile.streams = {
-        {"/search/", 24, seconds(3), milliseconds(200), 1},
-        {"/urgent/", 8, milliseconds(1200), milliseconds(80), 1},
-        {"/notes/", 8, seconds(15), milliseconds(800), 1},
+        {"/search/", 24, seconds(3), milliseconds(200), 1, milliseconds(28), 0.35, 1},
+        {"/urgent/", 8, milliseconds(1200), milliseconds(80), 1, microseconds(9200), 0.35, 2},
+        {"/notes/", 8, seconds(15), milliseconds(800), 1, milliseconds(220), 0.5, 2},
+    };
+    return profile;
+}
+
+LoadProfile prioritizedDeployment()
+{
+    LoadProfile profile;
+    profile.instances = 35;
+    profile.coordinators = 5;
+    profile.shards = 90;
+    profile.replicas = 3;
+    profile.dataCentres = 3;
+    profile.connectionCap = 66;
+    profile.searchMinimumShare = 0.95;
+    profile.urgentMinimumShare = 0.85;
+    profile.notesSlots = 2;
+    profile.pause = milliseconds(200);
+    profile.pausePeriod = milliseconds(4500);
+    profile.streams = {
+        {"/search/", 31.7, milliseconds(2500), milliseconds(200), 1, milliseconds(20), 0.35, 1},
+        {"/urgent/", 10.6, seconds(1), milliseconds(60), 1, microseconds(6700), 0.35, 0},
+        {"/notes/", 10.6, seconds(10), milliseconds(600), 1, milliseconds(160), 0.5, 2},
     };
     return profile;
 }
@@ -276,9 +338,9 @@
     profile.searchMinimumShare = 0.95;
     profile.urgentMinimumShare = 0.85;
     profile.streams = {
-        {"/search/", 30, seconds(3), milliseconds(200), 1},
-        {"/urgent/", 10, milliseconds(1200), milliseconds(80), 1},
-        {"/notes/", 10, seconds(15), milliseconds(800), 1},
+        {"/search/", 30, seconds(3), milliseconds(200), 1, milliseconds(28), 0.35, 1},
+        {"/urgent/", 10, milliseconds(1200), milliseconds(80), 1, microseconds(9200), 0.35, 2},
+        {"/notes/", 10, seconds(15), milliseconds(800), 1, milliseconds(220), 0.5, 2},
     };
     return profile;
 }
--- a/modules/gateway/tests/support/LoadSimulation.h
+++ b/modules/gateway/tests/support/LoadSimulation.h
@@ -18,6 +18,13 @@
     Duration latencyObjective{};
     /// Attempts of the caller after the first one has failed.
     int retries = 1;
+    /// Mean time that a server needs for a request or a part of it, and its variation coefficient.
+    Duration execution = milliseconds(28);
+    double executionVariation = 0.35;
+    /// Priority of the route; zero is the highest.
+    int priority = 1;
+    /// Fraction of the callers that disconnect within the latency objective.
+    double leavingShare = 0;
 };
 
 /// The size of a deployment and the load on it.
@@ -36,6 +43,9 @@
     /// Fractions of the shards that must answer a request at "/search/" and one at "/urgent/".
     double searchMinimumShare = 0.89;
     double urgentMinimumShare = 0.75;
+    /// Slots of the servers behind "/notes/".
+    int notesSlots = 4;
+    /// Requests to "/search/", "/urgent/" and "/notes/", in this order.
     std::vector<RequestStream> streams;
     /// Each server pauses for `pause` at random times, every `pausePeriod` on average.
     Duration pause = milliseconds(250);
@@ -62,9 +72,9 @@
 
 /// Simulates callers, gateway instances and backend servers in virtual time.
 ///
-/// There are three routes. "/search/" gathers parts that take a server 28 ms on average. "/urgent/"
-/// gathers parts that take 9.2 ms, and requires fewer of them. "/notes/" is answered by a single
-/// server in 220 ms. All random numbers derive from one seed.
+/// There are three routes. "/search/" and "/urgent/" gather parts; the latter requires fewer of
+/// them.
+/// "/notes/" is answered by a single server. All random numbers derive from one seed.
 class LoadSimulation
 {
 public:
@@ -73,7 +83,11 @@
     /// Schedules `change` at `time` after callers begin to send requests.
     void scheduleChange(Duration time, std::function<void()> change);
     void run(Duration length);
-    /// Results of the requests to `path` that callers first sent from `from` until `until`.
+    /// Multiplies the rate of the requests to `path` by `factor` from the next request on, and sets
+    /// the fraction of their callers that disconnect early.
+    void setLoad(const std::string &path, double factor, double leavingShare = 0);
+    /// Results of the requests to `path` that callers first sent from `from` until `until`, except
+    /// those whose callers disconnected.
     [[nodiscard]] LoadResults results(const std::string &path, Duration from, Duration until) const;
 
     /// Number of requests to `path`, retries by callers included, sent from `from` until `until`.
@@ -92,7 +106,7 @@
 private:
     struct Request;
 
-    void scheduleNextRequest(const RequestStream &stream);
+    void scheduleNextRequest(std::size_t stream);
     void send(const std::shared_ptr<Request> &request);
     /// Checks every millisecond whether the answer has reached the caller.
     void pollForAnswer(const std::shared_ptr<Request> &request);
@@ -100,6 +114,8 @@
     [[nodiscard]] double exponentialDelay(double perSecond);
 
     LoadProfile m_profile;
+    /// Present factor of the rate of each stream.
+    std::vector<double> m_loadFactors;
     VirtualScheduler m_scheduler;
     SimulatedServers m_servers;
     std::mt19937_64 m_random;
@@ -119,6 +135,10 @@
 /// only one request in a few seconds.
 [[nodiscard]] LoadProfile largeDeployment();
 
+/// The deployment of customer C: 35 instances, 90 shards with three servers each in three data
+/// centres, and urgent requests of the highest priority beside searches of the next one.
+[[nodiscard]] LoadProfile prioritizedDeployment();
+
 /// A deployment of 180 shards with three servers each, in three of five data centres, and 295
 /// instances, 15 of which coordinate.
 [[nodiscard]] LoadProfile coordinatedDeployment();
