Refuse requests that waiting work would make late

Cause: with requests of lower priorities held back, searches beyond the servers' capacity waited until they were late, and coordinators that held too many made entries query the shards themselves.

Change: GatherAdmission compares the wait that the required shards stay under with the time left to the objective; the highest priority is refused only for its deadline. The wait comes from the queue of each service and the rate at which it is sent, and from load reports weighted by freshness. Retry-After begins when the excess has drained and is spread over the expected wait. Reruns and groups of other coordinators are not refused. Servers that would miss the objective are left out for the highest priority too, while lower ones are in use; hedges need a free slot, are not sent while lower-priority work of the same service waits, and are sent early enough to be in time. Reported requests count until the next report while this instance has a request at the server.

--- a/bench/decisions/RequestDecisionsBench.cpp
+++ b/bench/decisions/RequestDecisionsBench.cpp
@@ -1,7 +1,9 @@
 #include <oleander/decisions/control/CoordinatorChoice.h>
 #include <oleander/decisions/request/Admission.h>
 #include <oleander/decisions/request/CrashMemory.h>
+#include <oleander/decisions/request/DispatchOrder.h>
 #include <oleander/decisions/request/ExtraLoad.h>
+#include <oleander/decisions/request/GatherAdmission.h>
 #include <oleander/decisions/request/LatencyWindow.h>
 #include <oleander/decisions/request/Merge.h>
 #include <oleander/decisions/request/Plan.h>
@@ -130,6 +132,35 @@
     }
 }
 
+/// The decision on a gathered request, given the expected waits of its services.
+void admitGathered(benchmark::State &state)
+{
+    std::vector<Duration> waits(static_cast<std::size_t>(state.range(0)));
+    const GatherAdmissionFacts plain{.objectiveLeft = milliseconds(180),
+                                     .deadlineLeft = milliseconds(2500),
+                                     .usualExecution = milliseconds(20),
+                                     .isBelowHigher = true};
+    for (auto _ : state) {
+        for (std::size_t index = 0; index < waits.size(); ++index)
+            waits[index] = microseconds(static_cast<std::int64_t>(index * 7919 % 100'000));
+        GatherAdmissionFacts facts = plain;
+        facts.expectedWait = requiredWait(waits, waits.size() / 20);
+        benchmark::DoNotOptimize(admitGather(facts));
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+/// Whether one server has room for a request of a lower priority.
+void findRoom(benchmark::State &state)
+{
+    ServerRoom room{.slots = 2, .reported = 2, .reportAge = milliseconds(12), .ownInFlight = 1};
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(room);
+        const int limit = fillLimit(room, milliseconds(14), milliseconds(20));
+        benchmark::DoNotOptimize(hasRoomBelow(room, limit, milliseconds(20)));
+    }
+}
+
 void chooseCoordinators(benchmark::State &state)
 {
     InstanceList list;
@@ -147,6 +178,8 @@
 BENCHMARK(chooseReplicas)->RangeMultiplier(2)->Range(16, 256)->Complexity();
 BENCHMARK(learnLatency)->RangeMultiplier(2)->Range(16, 256)->Complexity();
 BENCHMARK(admit);
+BENCHMARK(admitGathered)->RangeMultiplier(2)->Range(16, 256)->Complexity();
+BENCHMARK(findRoom);
 BENCHMARK(judgeCrash);
 BENCHMARK(judgeOnce);
 BENCHMARK(chooseCoordinators)->Arg(20)->Arg(120)->Arg(480)->Arg(950)->Complexity();
--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -71,6 +71,7 @@
     policy.extraAttempts.share = settings.extraShare * extraShareUsed;
     policy.extraAttempts.allowance = settings.extraAllowance * allowanceUsed / assumedInstances;
     policy.extraAttempts.window = settings.extraWindow;
+    policy.isLoadControlled = settings.isLoadControlled;
     policy.fleetExtraAllowance = settings.extraAllowance * allowanceUsed;
     return policy;
 }
@@ -372,6 +373,19 @@
             {"caller_connections_unread_total",
              "Connections closed because their callers did not read an answer.",
              number(ingress.unread)},
+            {"admissions_offered_total", "Requests for which admission was decided here.",
+             number(counts.offered)},
+            {"admissions_admitted_total", "Requests that were admitted here.",
+             number(counts.offered - counts.refusedForLoad - counts.refusedForDeadline)},
+            {"admissions_refused_load_total",
+             "Requests refused because waiting work would have made them late.",
+             number(counts.refusedForLoad)},
+            {"admissions_refused_deadline_total",
+             "Requests refused because they could not have been answered before their deadline.",
+             number(counts.refusedForDeadline)},
+            {"server_requests_waited_total",
+             "Requests and parts that waited here for room at servers.",
+             number(m_fleet.waitedRequests())},
             {"gathers_delegated_total", "Gathered requests handed to a coordinator.",
              number(counts.delegated)},
             {"gathers_rerun_total", "Gathered requests handed on since a coordinator failed.",
@@ -397,6 +411,8 @@
              number(m_fleet.crashGuard().suspectedRequests())},
             {"rate_limited_servers", "Servers that limit the rate of requests.",
              number(m_fleet.rateLimitedServers())},
+            {"server_requests_waiting", "Requests and parts that wait here for room at servers.",
+             number(m_fleet.waitingRequests())},
             {"active_calls", "Requests under way.", number(m_gateway.activeCalls())},
             {"evacuated_data_centres", "Data centres whose servers get no requests.",
              number(m_fleet.evacuatedDataCentres())},
--- a/modules/decisions/include/oleander/decisions/request/DispatchOrder.h
+++ b/modules/decisions/include/oleander/decisions/request/DispatchOrder.h
@@ -41,8 +41,9 @@
 [[nodiscard]] int fillLimit(const ServerRoom &room, Duration tolerated, Duration usualExecution);
 
 /// Whether one more request of a lower priority may be sent to a server with this fill limit.
-/// Without a report since the reported requests are expected to have ended, only the requests of
-/// this sender count: another one brings the next report.
+/// Reported requests count until the next report, since other senders replace those that end. A
+/// sender without a request at the server, which gets no report, takes them all to have ended after
+/// the time that this takes.
 [[nodiscard]] bool hasRoomBelow(const ServerRoom &room, int limit, Duration usualExecution);
 
 /// Out of this many requests sent to a service while requests of a lower priority wait, one is of
--- a/modules/decisions/src/request/DispatchOrder.cpp
+++ b/modules/decisions/src/request/DispatchOrder.cpp
@@ -57,13 +57,13 @@
         return false;
     if (reportFreshness(room.reportAge) == 0)
         return true;
-    double fromReport = room.reported;
+    int fromReport = room.reported;
     // Other senders replace what ends, and a request of this sender brings the next report. Without
-    // one, the end of the reported requests is the only hint.
+    // one, the end of all reported requests is the only hint.
     if (room.ownInFlight == 0 && usualExecution > Duration{}) {
         const double ended = std::max(1, room.slots) * static_cast<double>(room.reportAge.count())
                              / (paceOf(room) * static_cast<double>(usualExecution.count()));
-        fromReport = std::max(0.0, fromReport - ended);
+        fromReport = ended >= fromReport ? 0 : fromReport;
     }
     return fromReport + room.ownSentSince + 1 <= limit;
 }
--- a/modules/decisions/tests/request/DispatchOrderTest.cpp
+++ b/modules/decisions/tests/request/DispatchOrderTest.cpp
@@ -63,6 +63,8 @@
     ServerRoom room{.slots = 2, .reported = 4, .reportAge = Duration{}};
     EXPECT_FALSE(hasRoomBelow(room, 2, execution));
     room.reportAge = milliseconds(30);
+    EXPECT_FALSE(hasRoomBelow(room, 2, execution));
+    room.reportAge = milliseconds(40);
     EXPECT_TRUE(hasRoomBelow(room, 2, execution));
 }
 
--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -56,6 +56,9 @@
     /// True when this instance has no request in flight to the server and the last load report
     /// shows a short queue.
     [[nodiscard]] bool hasSpareCapacity() const;
+    /// True when a further request is expected to be executed at once, and the server does not
+    /// limit the rate.
+    [[nodiscard]] bool hasFreeSlotForHedge() const;
     /// Time until the server accepts a request of this instance; zero unless it limits the rate or
     /// has turned one away.
     [[nodiscard]] Duration untilAccepting() const;
--- a/modules/gateway/include/oleander/gateway/DispatchQueue.h
+++ b/modules/gateway/include/oleander/gateway/DispatchQueue.h
@@ -74,6 +74,8 @@
     /// The wait that the higher priorities in use tolerate, or nothing if none is in use, so that
     /// requests of this priority are sent at once.
     [[nodiscard]] std::optional<Duration> toleratedByHigher(int priority) const;
+    /// Whether a lower priority is in use, whose requests may occupy the servers.
+    [[nodiscard]] bool isLowerInUse(int priority) const;
     /// Whether a request waits that is to be sent before `work`.
     [[nodiscard]] bool isAnyBefore(const WaitingWork &work) const;
     /// `isSelective` tells that the request must avoid some servers, so that others behind it may
@@ -84,7 +86,12 @@
     /// Called when a server may have more room than before.
     void onRoomChanged();
 
+    /// Expected time until `work` would be sent, from the rate at which waiting requests were sent
+    /// lately; zero if nothing waits.
+    [[nodiscard]] Duration expectedWait(const WaitingWork &work) const;
     [[nodiscard]] std::size_t size() const { return m_entries.size(); }
+    /// Number of requests that have waited so far.
+    [[nodiscard]] std::uint64_t waited() const { return m_lastId; }
 
 private:
     friend class DispatchTicket;
@@ -110,6 +117,8 @@
     void remove(std::uint64_t id);
     void scheduleSending();
     void sendWaiting();
+    /// Adds the time since the last call to the measured rate.
+    void measureRate();
     /// The first entry that is not in `skipped` and has the priority, if one is given.
     [[nodiscard]] const Entry *first(const std::vector<std::uint64_t> &skipped,
                                      std::optional<int> priority = {}) const;
@@ -122,6 +131,11 @@
     std::vector<Entry> m_entries;
     std::map<int, PriorityUse> m_priorities;
     std::uint64_t m_lastId = 0;
+    /// Requests that were sent from the queue, and the time in which requests waited, in seconds;
+    /// both lose weight exponentially.
+    double m_recentlySent = 0;
+    double m_recentlyWaiting = 0;
+    TimePoint m_measuredAt{};
     bool m_isSendingScheduled = false;
     /// Replies of other senders' requests are not seen here, and reports lose their meaning with
     /// time, so the room is also checked periodically.
--- a/modules/gateway/include/oleander/gateway/Gateway.h
+++ b/modules/gateway/include/oleander/gateway/Gateway.h
@@ -54,6 +54,11 @@
     std::uint64_t refused = 0;
     std::uint64_t failed = 0;
     std::uint64_t disconnected = 0;
+    /// Requests for which admission was decided here, and those of them that were refused because
+    /// they would have missed the objective or the deadline.
+    std::uint64_t offered = 0;
+    std::uint64_t refusedForLoad = 0;
+    std::uint64_t refusedForDeadline = 0;
     /// Gathered requests handed to a coordinator.
     std::uint64_t delegated = 0;
     /// Gathered requests handed to another coordinator, because the first may have failed.
--- a/modules/gateway/include/oleander/gateway/ServerFleet.h
+++ b/modules/gateway/include/oleander/gateway/ServerFleet.h
@@ -91,10 +91,19 @@
     /// null.
     BackendServer *choose(ServicePool &pool, const std::vector<BackendServer *> &excluded,
                           Duration usualLatency);
+    /// The room of a server, with the pace at which it has replied lately if it states none.
+    [[nodiscard]] ServerRoom roomOf(const BackendServer &server) const;
+    /// Expected time until `work` would be executed by a server of the pool, because of requests
+    /// that wait here or at the servers.
+    [[nodiscard]] Duration expectedWait(const ServicePool &pool, const WaitingWork &work) const;
     [[nodiscard]] std::size_t connections() const;
+    /// Requests and parts that wait here for room at servers, and those that have waited so far.
+    [[nodiscard]] std::size_t waitingRequests() const;
+    [[nodiscard]] std::uint64_t waitedRequests() const;
     /// Number of servers that limit the rate of requests.
     [[nodiscard]] std::size_t rateLimitedServers() const;
     [[nodiscard]] std::size_t evacuatedDataCentres() const { return m_evacuated.size(); }
+    [[nodiscard]] bool isLoadControlled() const { return m_policy.isLoadControlled; }
     [[nodiscard]] CrashGuard &crashGuard() { return m_crashGuard; }
     [[nodiscard]] const CrashGuard &crashGuard() const { return m_crashGuard; }
     /// Takes one extra attempt from the service's budget; false when it is exhausted.
--- a/modules/gateway/include/oleander/gateway/ServiceCall.h
+++ b/modules/gateway/include/oleander/gateway/ServiceCall.h
@@ -93,9 +93,11 @@
     /// Sends to the server unless that takes an extra attempt that the budget does not permit.
     bool sendWithinBudget(BackendServer &server);
     [[nodiscard]] WaitingWork waitingWork() const;
-    /// Chooses among the servers that have room for a request of this priority. A server that would
-    /// miss the objective is left out while another one could meet it.
-    BackendServer *chooseServerWithRoom(bool mayReuseTried, Duration toleratedByHigher);
+    /// Chooses a server as chooseServer() does, but leaves out those that would miss the objective
+    /// while another one could meet it and, if higher priorities are in use, those without room.
+    BackendServer *chooseServerInTime(bool mayReuseTried,
+                                      std::optional<Duration> toleratedByHigher);
+    [[nodiscard]] bool hasRoom(const BackendServer &server, Duration toleratedByHigher) const;
     [[nodiscard]] Duration expectedLatency(const BackendServer &server) const;
     /// Returns true if the server is expected to answer in time. A hedge that would be late only
     /// occupies the server.
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -164,6 +164,11 @@
            && reportedQueue(m_score, m_context.timer.now()) <= shortQueue;
 }
 
+bool BackendServer::hasFreeSlotForHedge() const
+{
+    return !m_rateLimit && untilAccepting() == Duration{} && hasFreeSlot(room());
+}
+
 Duration BackendServer::untilAccepting() const
 {
     const TimePoint now = m_context.timer.now();
--- a/modules/gateway/src/CallBase.cpp
+++ b/modules/gateway/src/CallBase.cpp
@@ -1,6 +1,8 @@
 #include "Calls.h"
 
+#include <oleander/decisions/request/GatherAdmission.h>
 #include <oleander/gateway/HttpStatus.h>
+#include <oleander/ports/RandomSource.h>
 
 #include <algorithm>
 #include <cstdio>
@@ -113,6 +115,64 @@
         release();
 }
 
+bool CallBase::refuseIfOverloaded(const std::vector<const ServiceId *> &services,
+                                  std::size_t missable)
+{
+    // Another instance may have begun to execute a rerun, so it can not be refused as not run.
+    if (!m_gateway.m_policy.isLoadControlled || m_terms.isRerun || services.empty())
+        return false;
+    ++m_gateway.m_counts.offered;
+    const TimePoint now = m_gateway.m_timer.now();
+    const ServiceCallPlan plan = planFor(*services.front(), m_deadline);
+    const WaitingWork work{m_route.priority, now, plan.answerBy, plan.usualExecution};
+    GatherAdmissionFacts facts;
+    facts.objectiveLeft = plan.answerBy - now;
+    facts.deadlineLeft = m_deadline - now;
+    facts.usualExecution = plan.usualExecution;
+    std::vector<Duration> waits;
+    waits.reserve(services.size());
+    for (const ServiceId *service : services) {
+        const ServicePool &pool = m_gateway.m_fleet.pool(*service);
+        waits.push_back(m_gateway.m_fleet.expectedWait(pool, work));
+        facts.isBelowHigher =
+            facts.isBelowHigher || pool.dispatch->toleratedByHigher(m_route.priority).has_value();
+    }
+    facts.expectedWait = requiredWait(waits, missable);
+    const AdmissionVerdict verdict = admitGather(facts);
+    if (verdict == AdmissionVerdict::Admitted)
+        return false;
+    const bool isForDeadline = verdict == AdmissionVerdict::DeadlineMissed;
+    ++(isForDeadline ? m_gateway.m_counts.refusedForDeadline : m_gateway.m_counts.refusedForLoad);
+    const Duration retryAfter = refusalRetryAfter(facts, unitInterval(m_gateway.m_random.next()));
+    const Duration limit = isForDeadline ? facts.deadlineLeft : facts.objectiveLeft;
+    // The youngest load report of the services that determine the wait.
+    Duration reportAge = Duration::max();
+    for (const ServiceId *service : services) {
+        const ServicePool &pool = m_gateway.m_fleet.pool(*service);
+        if (m_gateway.m_fleet.expectedWait(pool, work) < facts.expectedWait)
+            continue;
+        for (const BackendServer *server : pool.servers)
+            reportAge = std::min(reportAge, server->room().reportAge);
+    }
+    m_gateway.m_timer.post(
+        [self = shared_from_this(), facts, limit, reportAge, retryAfter, isForDeadline] {
+            if (self->isAnswered())
+                return;
+            ++self->m_gateway.m_counts.refused;
+            self->record(EventId::QueryRefused,
+                         {{"cause", isForDeadline ? "deadline" : "load"},
+                          {"route", self->m_route.id.text()},
+                          {"priority", self->m_route.priority},
+                          {"expectedWaitMs", inMilliseconds(facts.expectedWait)},
+                          {"limitMs", inMilliseconds(limit)},
+                          {"reportAgeMs", inMilliseconds(reportAge)},
+                          {"retryAfterMs", inMilliseconds(retryAfter)},
+                          {"configuration", self->m_terms.configuration.value()}});
+            self->answer({statusUnavailable, {retryAfterField(retryAfter)}, "not run: overload\n"});
+        });
+    return true;
+}
+
 void CallBase::refuse(std::string_view cause, Duration retryAfter)
 {
     ++m_gateway.m_counts.refused;
@@ -174,14 +234,20 @@
     plan.retryUntil = retryUntil;
     plan.retryDelays = {policy.initialRetryDelay, policy.maximumRetryDelay};
     plan.usualLatency = m_latencies->mean(assumedLatency);
+    // The median, since a few servers may be much slower than usual.
+    plan.usualExecution = m_executions->quantile(PerMille{500}, plan.usualLatency);
     const Duration objectivePart(static_cast<std::int64_t>(
         policy.hedgeObjectiveShare * static_cast<double>(m_route.objective.count())));
     plan.hedgeDelay = std::max({policy.minimumHedgeDelay, objectivePart,
                                 m_latencies->quantile(policy.hedgeQuantile, assumedLatency)});
+    // A later second attempt could not be in time.
+    if (policy.isLoadControlled) {
+        const Duration latest = m_route.objective - policy.answerMargin - 2 * plan.usualExecution;
+        plan.hedgeDelay =
+            std::min(plan.hedgeDelay, std::max({policy.minimumHedgeDelay, objectivePart, latest}));
+    }
     plan.latencies = m_latencies;
     plan.objective = m_route.objective - policy.answerMargin;
-    // The median, since a few servers may be much slower than usual.
-    plan.usualExecution = m_executions->quantile(PerMille{500}, plan.usualLatency);
     plan.executions = m_executions;
     return plan;
 }
--- a/modules/gateway/src/Calls.h
+++ b/modules/gateway/src/Calls.h
@@ -81,6 +81,9 @@
     /// Refuses the request, which has not been executed and will not be.
     /// `retryAfter` is when the caller may come back, if that is later than usual.
     void refuse(std::string_view cause, Duration retryAfter = {});
+    /// Refuses the request if load would make it miss its objective, and returns true then. Of the
+    /// services, `missable` need not answer.
+    bool refuseIfOverloaded(const std::vector<const ServiceId *> &services, std::size_t missable);
     /// Refuses after the current event has been handled. `cause` must be a string literal.
     void refuseLater(std::string_view cause, Duration retryAfter = {});
     /// Returns true if servers were lost while they executed the request, and refuses it then.
--- a/modules/gateway/src/DispatchQueue.cpp
+++ b/modules/gateway/src/DispatchQueue.cpp
@@ -1,6 +1,7 @@
 #include <oleander/gateway/DispatchQueue.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace oleander::gateway {
@@ -12,10 +13,18 @@
 constexpr Duration priorityUseTime = seconds(10);
 /// Period of the check for room. Below the time in which a server executes typical work, so that
 /// slots are not idle for long.
-constexpr Duration checkPeriod = milliseconds(5);
+constexpr Duration checkPeriod = milliseconds(8);
 /// Requests that are tried in one pass although servers had no room for one that avoids some of
 /// them.
 constexpr std::size_t maximumSkipped = 4;
+/// Time constant of the rate at which requests are sent from the queue. Below the time that work
+/// waits in an overload, and above that between two replies of a server.
+constexpr double rateTimeConstant = 0.25;
+
+double inSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
 
 } // namespace
 
@@ -56,6 +65,14 @@
     return tolerated;
 }
 
+bool DispatchQueue::isLowerInUse(int priority) const
+{
+    const TimePoint now = m_timer.now();
+    return m_isEnabled && std::ranges::any_of(m_priorities, [&](const auto &entry) {
+               return entry.first > priority && now - entry.second.lastRequest <= priorityUseTime;
+           });
+}
+
 bool DispatchQueue::isAnyBefore(const WaitingWork &work) const
 {
     const TimePoint now = m_timer.now();
@@ -65,6 +82,7 @@
 
 DispatchTicket DispatchQueue::add(const WaitingWork &work, bool isSelective, Send send)
 {
+    measureRate();
     m_entries.push_back({++m_lastId, work, isSelective, std::move(send)});
     ++m_priorities[work.priority].waiting;
     if (m_entries.size() == 1)
@@ -73,6 +91,33 @@
     return {weak_from_this(), m_lastId};
 }
 
+Duration DispatchQueue::expectedWait(const WaitingWork &work) const
+{
+    if (m_entries.empty())
+        return {};
+    const TimePoint now = m_timer.now();
+    const auto ahead = std::ranges::count_if(
+        m_entries, [&](const Entry &entry) { return !isSentBefore(work, entry.work, now); });
+    // As if one more request were sent now. Just after requests have begun to wait little is known
+    // of the rate, and the expected wait is short.
+    const double waiting = m_recentlyWaiting + inSeconds(now - m_measuredAt);
+    const double wait = static_cast<double>(ahead + 1) * waiting / (m_recentlySent + 1);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
+}
+
+void DispatchQueue::measureRate()
+{
+    const TimePoint now = m_timer.now();
+    // Only the time in which requests waited counts.
+    if (!m_entries.empty()) {
+        const double elapsed = inSeconds(now - m_measuredAt);
+        const double kept = std::exp(-elapsed / rateTimeConstant);
+        m_recentlySent *= kept;
+        m_recentlyWaiting = m_recentlyWaiting * kept + elapsed;
+    }
+    m_measuredAt = now;
+}
+
 void DispatchQueue::noteSent(int priority)
 {
     bool isAnyOverdue = false;
@@ -99,6 +144,7 @@
     PriorityUse &use = m_priorities[found->work.priority];
     if (--use.waiting == 0)
         use.passedBy = 0;
+    measureRate();
     m_entries.erase(found);
     if (m_entries.empty())
         m_checkTimer.reset();
@@ -167,9 +213,11 @@
     const auto found = std::ranges::find(m_entries, id, &Entry::id);
     // The entry may be removed during the call.
     const Send send = found->send;
+    measureRate();
     if (!send(isRegardlessOfRoom))
         return false;
     remove(id);
+    m_recentlySent += 1;
     return true;
 }
 
--- a/modules/gateway/src/ForwardCall.cpp
+++ b/modules/gateway/src/ForwardCall.cpp
@@ -24,6 +24,8 @@
         refuseLater("no server of the service");
         return;
     }
+    if (refuseIfOverloaded({&service}, 0))
+        return;
     m_call = std::make_shared<ServiceCall>(m_gateway.m_fleet, m_gateway.m_timer, plan);
     m_call->start([this](ServiceOutcome outcome) { onOutcome(std::move(outcome)); });
 }
--- a/modules/gateway/src/GatherCall.cpp
+++ b/modules/gateway/src/GatherCall.cpp
@@ -55,6 +55,14 @@
         refuseLater("too many shards without a server", untilAnswerable());
         return;
     }
+    if (!terms().isForSomeShards()) {
+        std::vector<const ServiceId *> services;
+        services.reserve(m_shardCount);
+        for (const ServiceId &shard : m_route.shards)
+            services.push_back(&shard);
+        if (refuseIfOverloaded(services, m_shardCount - m_requiredShards))
+            return;
+    }
     m_parts.reserve(m_shardCount);
     m_pendingShards = m_shardCount;
     std::vector<std::size_t> shards =
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -303,6 +303,33 @@
     return candidates;
 }
 
+ServerRoom ServerFleet::roomOf(const BackendServer &server) const
+{
+    ServerRoom room = server.room();
+    room.pace = std::max(room.pace, decayedSlowness(server.score(), m_context.timer.now()));
+    return room;
+}
+
+Duration ServerFleet::expectedWait(const ServicePool &pool, const WaitingWork &work) const
+{
+    // The wait at the server that is expected to reply first, and the time until its reply.
+    std::optional<std::pair<Duration, Duration>> soonest;
+    for (const BackendServer *server : pool.servers) {
+        if (!server->isUsable() || server->isEjected())
+            continue;
+        const ServerRoom room = roomOf(*server);
+        // An old report says little of the present wait, so that neither all nor none of the
+        // instances refuse for it.
+        const Duration wait(static_cast<std::int64_t>(
+            reportFreshness(room.reportAge)
+            * static_cast<double>(oleander::expectedWait(room, work.usualExecution).count())));
+        const std::pair reply(expectedCompletion(room, work.usualExecution), wait);
+        soonest = std::min(soonest.value_or(reply), reply);
+    }
+    const Duration atServer = soonest ? soonest->second : Duration{};
+    return std::max(atServer, pool.dispatch->expectedWait(work));
+}
+
 std::size_t ServerFleet::connections() const
 {
     std::size_t count = 0;
@@ -311,6 +338,22 @@
     return count;
 }
 
+std::size_t ServerFleet::waitingRequests() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, pool] : m_pools)
+        count += pool->dispatch->size();
+    return count;
+}
+
+std::uint64_t ServerFleet::waitedRequests() const
+{
+    std::uint64_t count = 0;
+    for (const auto &[id, pool] : m_pools)
+        count += pool->dispatch->waited();
+    return count;
+}
+
 std::size_t ServerFleet::rateLimitedServers() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
--- a/modules/gateway/src/ServiceCall.cpp
+++ b/modules/gateway/src/ServiceCall.cpp
@@ -106,11 +106,14 @@
     DispatchQueue &dispatch = *m_plan.pool->dispatch;
     const auto tolerated = dispatch.toleratedByHigher(m_plan.priority);
     if (!tolerated || isAlone || !m_running.empty()) {
-        BackendServer *server = chooseServer(mayReuseTried, isAlone);
+        const bool isFiltered =
+            !isAlone && m_running.empty() && dispatch.isLowerInUse(m_plan.priority);
+        BackendServer *server = isFiltered ? chooseServerInTime(mayReuseTried, std::nullopt)
+                                           : chooseServer(mayReuseTried, isAlone);
         return server && sendWithinBudget(*server);
     }
     if (!dispatch.isAnyBefore(waitingWork())) {
-        if (BackendServer *server = chooseServerWithRoom(mayReuseTried, *tolerated))
+        if (BackendServer *server = chooseServerInTime(mayReuseTried, tolerated))
             return sendWithinBudget(*server);
     }
     if (!chooseServer(mayReuseTried, false))
@@ -135,7 +138,7 @@
     if (!isHeld) {
         const auto tolerated = m_plan.pool->dispatch->toleratedByHigher(m_plan.priority);
         const bool needsRoom = tolerated && !isRegardlessOfRoom;
-        server = needsRoom ? chooseServerWithRoom(mayReuseTried, *tolerated)
+        server = needsRoom ? chooseServerInTime(mayReuseTried, tolerated)
                            : chooseServer(mayReuseTried, false);
         if (!server && needsRoom && chooseServer(mayReuseTried, false))
             return false;
@@ -168,7 +171,8 @@
     return {m_plan.priority, m_arrived, m_plan.answerBy, m_plan.usualExecution};
 }
 
-BackendServer *ServiceCall::chooseServerWithRoom(bool mayReuseTried, Duration toleratedByHigher)
+BackendServer *ServiceCall::chooseServerInTime(bool mayReuseTried,
+                                               std::optional<Duration> toleratedByHigher)
 {
     const TimePoint now = m_timer.now();
     std::vector<BackendServer *> excluded = excludedServers(mayReuseTried);
@@ -182,17 +186,22 @@
         best = std::min(best, expectedLatency(*server));
     }
     for (BackendServer *server : others) {
-        const ServerRoom room = server->room();
-        const int limit = fillLimit(room, toleratedByHigher, m_plan.usualExecution);
         const Duration latency = expectedLatency(*server);
         const bool isTooSlow =
             latency > best && now + latency > m_plan.answerBy && now + best <= m_plan.answerBy;
-        if (isTooSlow || !hasRoomBelow(room, limit, m_plan.usualExecution))
+        if (isTooSlow || (toleratedByHigher && !hasRoom(*server, *toleratedByHigher)))
             excluded.push_back(server);
     }
     return m_fleet.choose(*m_plan.pool, excluded, m_plan.usualLatency);
 }
 
+bool ServiceCall::hasRoom(const BackendServer &server, Duration toleratedByHigher) const
+{
+    const ServerRoom room = m_fleet.roomOf(server);
+    const int limit = fillLimit(room, toleratedByHigher, m_plan.usualExecution);
+    return hasRoomBelow(room, limit, m_plan.usualExecution);
+}
+
 Duration ServiceCall::expectedLatency(const BackendServer &server) const
 {
     const double slowness = decayedSlowness(server.score(), m_timer.now());
@@ -216,7 +225,14 @@
 bool ServiceCall::isWorthHedging(const BackendServer &server) const
 {
     const TimePoint now = m_timer.now();
-    if (!server.hasSpareCapacity())
+    const DispatchQueue &dispatch = *m_plan.pool->dispatch;
+    // Requests that have not been sent need the room more than a second attempt does.
+    if (dispatch.size() > 0 && dispatch.toleratedByHigher(m_plan.priority))
+        return false;
+    // Where priorities differ, servers usually have requests, so that a free slot is the question.
+    const bool hasRoom = dispatch.isLowerInUse(m_plan.priority) ? server.hasFreeSlotForHedge()
+                                                                : server.hasSpareCapacity();
+    if (!hasRoom)
         return false;
     // The objective is already missed, so any reply helps.
     return now >= m_plan.answerBy || now + expectedLatency(server) <= m_plan.answerBy;
--- a/modules/gateway/tests/CoordinatorTest.cpp
+++ b/modules/gateway/tests/CoordinatorTest.cpp
@@ -332,6 +332,35 @@
     EXPECT_EQ(entry(0).local.gateway.counts().rerun, 0U);
 }
 
+// Guards against requests that are lost with a coordinator at which they waited for room.
+TEST_F(CoordinatedFleet, RequestsThatWaitedAtALostCoordinatorAreRunElsewhere)
+{
+    GatewayConfiguration configuration = testConfiguration(shardCount, 2);
+    configuration.routes[0].priority = 1;
+    Route urgent = configuration.routes[0];
+    urgent.id = RouteId("urgent");
+    urgent.prefix = "/urgent/";
+    urgent.priority = 0;
+    urgent.objective = milliseconds(50);
+    configuration.routes.push_back(urgent);
+    for (const auto &instance : instances)
+        instance->local.gateway.configure(configuration);
+    entry(0).local.sendRequest("first", "/urgent/x", seconds(3));
+    scheduler.runFor(milliseconds(200));
+    std::vector<std::shared_ptr<ReceivedAnswer>> received;
+    for (int number = 0; number < 20; ++number)
+        received.push_back(send(0, "r" + std::to_string(number)));
+    scheduler.runFor(milliseconds(4));
+    EXPECT_GT(coordinator(0).local.fleet.waitingRequests(), 0U);
+    mesh.kill(preferredBy(0));
+    scheduler.runFor(seconds(2));
+    for (const auto &answered : received) {
+        ASSERT_TRUE(answered->answer);
+        EXPECT_EQ(answered->answer->status, 200);
+        EXPECT_LE(mostExecutions(answered->id), 2);
+    }
+}
+
 TEST_F(CoordinatedFleet, AnyInstanceExecutesRequestsItselfWhenAllCoordinatorsAreLost)
 {
     for (int number = 0; number < coordinatorCount; ++number)
--- a/modules/gateway/tests/LoadPatternTest.cpp
+++ b/modules/gateway/tests/LoadPatternTest.cpp
@@ -368,6 +368,8 @@
         slowDown(simulation, random, 0.3, 5);
     });
     EXPECT_GE(shares.urgent, 0.95);
+    // As many as if nothing were held back or refused.
+    EXPECT_GE(shares.search, 0.10);
 }
 
 TEST(LoadPattern, BurstOfSixOfTheSearches)
@@ -375,6 +377,18 @@
     const InTimeShares shares = runPrioritized(
         [](LoadSimulation &simulation, auto &) { simulation.setLoad("/search/", 6); });
     EXPECT_GE(shares.urgent, 0.95);
+    EXPECT_GE(shares.search, 0.99);
+}
+
+TEST(LoadPattern, BurstOfSixWithNearlyHalfOfTheServersTenTimesSlowerAndCallersLeaving)
+{
+    const InTimeShares shares = runPrioritized([](LoadSimulation &simulation, auto &random) {
+        for (const RequestStream &stream : simulation.profile().streams)
+            simulation.setLoad(stream.path, stream.path == "/search/" ? 6 : 1, 0.3);
+        slowDown(simulation, random, 0.45, 10);
+    });
+    // An urgent request may lack 13 shards. All servers of 7 or 8 are slow, and others pause.
+    EXPECT_GE(shares.urgent, 0.75);
 }
 
 // The same deployment without a burst.
--- a/modules/settings/include/oleander/settings/GatewaySettings.h
+++ b/modules/settings/include/oleander/settings/GatewaySettings.h
@@ -43,6 +43,9 @@
     double extraShare = 0.2;
     double extraAllowance = 0;
     Duration extraWindow = seconds(10);
+    /// Whether requests of lower priorities wait here while servers are busy, and requests that
+    /// would be late are refused.
+    bool isLoadControlled = true;
 
     bool operator==(const GatewaySettings &) const = default;
 };
@@ -50,7 +53,8 @@
 /// Reads a gateway's settings file, JSON. Keys: `instance`, `dataCentre`, `callerAddress`,
 /// `readinessAddress`, `metricsAddress`, `registryAddress`, `peerAddress`, `fleetKey`, `seeds`,
 /// `stopSeconds`, `heartbeatMs`, `descriptors`, `processorShare`, `extraLoad` with `share`,
-/// `allowance` and `windowSeconds`. All are required. Every fault is reported with its path.
+/// `allowance` and `windowSeconds`. All are required, except `loadControl` with `isEnabled`, which
+/// is true if missing. Every fault is reported with its path.
 std::optional<GatewaySettings> readGatewaySettings(std::string_view text, Findings &findings);
 
 /// The same, with the first fault.
--- a/modules/settings/src/GatewaySettings.cpp
+++ b/modules/settings/src/GatewaySettings.cpp
@@ -94,6 +94,12 @@
                                   .value_or(0);
     if (const json *extraLoad = reader.object("extraLoad", Presence::Required))
         readExtraLoad(*extraLoad, reader.pathOf("extraLoad"), settings, findings);
+    if (const json *loadControl = reader.object("loadControl", Presence::Optional)) {
+        ObjectReader controlReader(*loadControl, reader.pathOf("loadControl"), findings);
+        settings.isLoadControlled =
+            controlReader.boolean("isEnabled", Presence::Required).value_or(true);
+        controlReader.finish();
+    }
     reader.finish();
     if (findings.size() != before)
         return std::nullopt;
--- a/modules/settings/tests/GatewaySettingsTest.cpp
+++ b/modules/settings/tests/GatewaySettingsTest.cpp
@@ -38,6 +38,20 @@
     EXPECT_EQ(settings->extraAllowance, 129);
 }
 
+// Guards against settings files of the previous release that are refused.
+TEST(GatewaySettings, LoadControlIsOnUnlessSwitchedOff)
+{
+    Reason reason;
+    json document = plainSettings();
+    const auto plain = parseGatewaySettings(document.dump(), reason);
+    ASSERT_TRUE(plain) << reason.text;
+    EXPECT_TRUE(plain->isLoadControlled);
+    document["loadControl"]["isEnabled"] = false;
+    const auto switchedOff = parseGatewaySettings(document.dump(), reason);
+    ASSERT_TRUE(switchedOff) << reason.text;
+    EXPECT_FALSE(switchedOff->isLoadControlled);
+}
+
 TEST(GatewaySettings, NamesThePathAndTheRangeOfWhatIsWrong)
 {
     const std::vector<std::pair<json, std::string>> faults{
@@ -47,6 +61,7 @@
         {{{"seeds", {"x"}}}, "$.seeds[0]: must be an IP number and a port"},
         {{{"fleetKey", "short"}}, "$.fleetKey: must be a text of at least 8 bytes"},
         {{{"unheardOf", 1}}, "$.unheardOf: is not known here"},
+        {{{"loadControl", {{"isEnabled", 1}}}}, "$.loadControl.isEnabled: must be true or false"},
         {{{"extraLoad", {{"share", 2}, {"allowance", 1}, {"windowSeconds", 10}}}},
          "$.extraLoad.share: must be a number from 0"},
     };
