A test of refusals under load

Cause: no test showed that a request that admission refuses has not been executed. Change: one service gets twice as many requests as it can execute; refused ones are compared with those that the server executed.

--- a/modules/gateway/tests/DispatchQueueTest.cpp
+++ b/modules/gateway/tests/DispatchQueueTest.cpp
@@ -140,4 +140,34 @@
     EXPECT_EQ(counters().arrived, 9);
 }
 
+// Guards against refusals that state "not run" of requests that a server has executed, and against
+// waiting work that grows as long as requests arrive faster than they can be executed.
+TEST_F(DispatchQueueTest, RequestsBeyondTheCapacityAreRefusedUnexecuted)
+{
+    std::vector<std::shared_ptr<ReceivedAnswer>> received;
+    for (int number = 0; number < 1000; ++number) {
+        if (number % 100 == 0)
+            instance.sendRequest("high-" + std::to_string(number), "/high/x", seconds(10));
+        received.push_back(sendLow(1).front());
+        // Twice as often as the two slots can execute.
+        scheduler.runFor(microseconds(2500));
+    }
+    scheduler.runFor(seconds(2));
+    const std::set<std::string> executed(counters().executedIds.begin(),
+                                         counters().executedIds.end());
+    std::size_t refused = 0;
+    for (const auto &answered : received) {
+        ASSERT_TRUE(answered->answer);
+        if (answered->answer->status != 503)
+            continue;
+        ++refused;
+        EXPECT_FALSE(executed.contains(answered->id));
+        EXPECT_TRUE(std::ranges::any_of(answered->answer->fields, [](const HttpField &field) {
+            return field.name == "Retry-After";
+        }));
+    }
+    EXPECT_GT(refused, 100U);
+    EXPECT_EQ(instance.gateway.counts().refusedForLoad, refused);
+}
+
 } // namespace
