--- a/modules/gateway/tests/CoordinatorTest.cpp
+++ b/modules/gateway/tests/CoordinatorTest.cpp
@@ -347,8 +347,10 @@
         instance->local.gateway.configure(configuration);
     entry(0).local.sendRequest("first", "/urgent/x", seconds(3));
     scheduler.runFor(milliseconds(200));
+    constexpr int requests = 20;
     std::vector<std::shared_ptr<ReceivedAnswer>> received;
-    for (int number = 0; number < 20; ++number)
+    received.reserve(requests);
+    for (int number = 0; number < requests; ++number)
         received.push_back(send(0, "r" + std::to_string(number)));
     scheduler.runFor(milliseconds(4));
     EXPECT_GT(coordinator(0).local.fleet.waitingRequests(), 0U);
--- a/modules/gateway/tests/DispatchQueueTest.cpp
+++ b/modules/gateway/tests/DispatchQueueTest.cpp
@@ -36,6 +36,7 @@
     std::vector<std::shared_ptr<ReceivedAnswer>> sendLow(int count)
     {
         std::vector<std::shared_ptr<ReceivedAnswer>> received;
+        received.reserve(static_cast<std::size_t>(count));
         for (int number = 0; number < count; ++number)
             received.push_back(
                 instance.sendRequest("low-" + std::to_string(++m_lastId), "/low/x", seconds(10)));
