--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -13,6 +13,7 @@
 #include <oleander/ports/TimerService.h>
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -59,6 +60,9 @@
     /// True when this instance has no request in flight to the server and the last load report
     /// shows a short queue.
     [[nodiscard]] bool hasSpareCapacity() const;
+    /// True when a further request is expected to be executed at once, and the server does not
+    /// limit the rate.
+    [[nodiscard]] bool hasFreeSlotForHedge() const;
     /// Time until the server accepts a request of this instance; zero unless it limits the rate or
     /// has turned one away.
     [[nodiscard]] Duration untilAccepting() const;
@@ -93,6 +97,11 @@
     /// Called when the evacuation of the server's data centre begins or ends. Requests that were
     /// not sent move to other servers.
     void setEvacuated(bool isEvacuated);
+    /// `onRoomChanged` is called when a request at the server has ended. It must not call back.
+    void setRoomListener(std::function<void()> onRoomChanged)
+    {
+        m_onRoomChanged = std::move(onRoomChanged);
+    }
     /// Called when the server is no longer registered. Running requests finish, and no new ones
     /// start.
     void retire();
@@ -169,6 +178,7 @@
     bool m_isLeaving = false;
     /// Another server answered at this address.
     bool m_isAddressReused = false;
+    std::function<void()> m_onRoomChanged = [] {};
     std::vector<std::unique_ptr<Connection>> m_connections;
     std::deque<AttemptPtr> m_waiting;
     /// Trials of the requests under which the server closed its connections, until it is known
--- a/modules/settings/include/oleander/settings/GatewaySettings.h
+++ b/modules/settings/include/oleander/settings/GatewaySettings.h
@@ -49,6 +49,9 @@
     double extraShare = 0.2;
     double extraAllowance = 0;
     Duration extraWindow = seconds(10);
+    /// Whether requests of lower priorities wait here while servers are busy, and requests that
+    /// would be late are refused.
+    bool isLoadControlled = true;
 
     bool operator==(const GatewaySettings &) const = default;
 };
@@ -56,8 +59,8 @@
 /// Reads a gateway's settings file, JSON. Keys: `instance`, `dataCentre`, `callerAddress`,
 /// `readinessAddress`, `metricsAddress`, `registryAddress`, `peerAddress`, `fleetKey`, `seeds`,
 /// `stopSeconds`, `heartbeatMs`, `descriptors`, `processorShare`, `extraLoad` with `share`,
-/// `allowance` and `windowSeconds`. All are required. Optional: `linkMbps`, `memoryMb`. Every fault
-/// is reported with its path.
+/// `allowance` and `windowSeconds`. All are required. Optional: `linkMbps`, `memoryMb`,
+/// `loadControl` with `isEnabled`. Every fault is reported with its path.
 std::optional<GatewaySettings> readGatewaySettings(std::string_view text, Findings &findings);
 
 /// The same, with the first fault.
