--- a/modules/gateway/include/oleander/gateway/ServerFleet.h
+++ b/modules/gateway/include/oleander/gateway/ServerFleet.h
@@ -2,6 +2,7 @@
 
 #include <oleander/decisions/request/LatencyWindow.h>
 #include <oleander/gateway/BackendServer.h>
+#include <oleander/gateway/DispatchQueue.h>
 #include <oleander/gateway/RouteTable.h>
 #include <oleander/ports/RandomSource.h>
 
@@ -29,6 +30,8 @@
     std::vector<BackendServer *> keptConnected;
     /// True when requests for this service are parts of gathered requests.
     bool isShard = false;
+    /// Requests that wait here for room at the servers.
+    std::shared_ptr<DispatchQueue> dispatch;
 
     [[nodiscard]] bool hasUsableServer() const;
     /// Time until a usable server that is not ejected accepts a request.
@@ -95,7 +98,15 @@
     /// null.
     BackendServer *choose(ServicePool &pool, const std::vector<BackendServer *> &excluded,
                           Duration usualLatency);
+    /// The room of a server, with the pace at which it has replied lately if it states none.
+    [[nodiscard]] ServerRoom roomOf(const BackendServer &server) const;
+    /// Expected time until `work` would be executed by a server of the pool, because of requests
+    /// that wait here or at the servers.
+    [[nodiscard]] Duration expectedWait(const ServicePool &pool, const WaitingWork &work) const;
     [[nodiscard]] std::size_t connections() const;
+    /// Requests and parts that wait here for room at servers, and those that have waited so far.
+    [[nodiscard]] std::size_t waitingRequests() const;
+    [[nodiscard]] std::uint64_t waitedRequests() const;
     /// Number of servers that limit the rate of requests.
     [[nodiscard]] std::size_t rateLimitedServers() const;
     /// Number of cold servers whose services limit what they get.
@@ -107,6 +118,7 @@
     [[nodiscard]] std::size_t evacuatedDataCentres() const { return m_evacuated.size(); }
     /// How late the timers of this process fire, at a high quantile.
     [[nodiscard]] Duration wakeUpLateness() const;
+    [[nodiscard]] bool isLoadControlled() const { return m_policy.isLoadControlled; }
     [[nodiscard]] CrashGuard &crashGuard() { return m_crashGuard; }
     [[nodiscard]] const CrashGuard &crashGuard() const { return m_crashGuard; }
     /// Takes one extra attempt from the service's budget; false when it is exhausted.
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -171,6 +171,11 @@
            && reportedQueue(m_score, m_context.timer.now()) <= shortQueue;
 }
 
+bool BackendServer::hasFreeSlotForHedge() const
+{
+    return !m_rateLimit && untilAccepting() == Duration{} && hasFreeSlot(room());
+}
+
 Duration BackendServer::untilAccepting() const
 {
     const TimePoint now = m_context.timer.now();
@@ -322,6 +327,7 @@
 void BackendServer::submit(const AttemptPtr &attempt)
 {
     attempt->server = this;
+    attempt->hasFoundSlot = hasFreeSlot(room());
     CrashGuard::onSubmitted(*attempt->trial);
     if (m_rateLimit)
         takeToken(*m_rateLimit, m_context.timer.now());
@@ -572,6 +578,7 @@
 {
     attempt->onFinished = nullptr;
     attempt->server = nullptr;
+    m_onRoomChanged();
     if (const auto trial = std::exchange(attempt->trial, nullptr))
         m_context.crashes.onEnded(*trial);
 }
@@ -586,6 +593,7 @@
 {
     recordResult(*attempt, result);
     attempt->server = nullptr;
+    m_onRoomChanged();
     if (const auto trial = std::exchange(attempt->trial, nullptr)) {
         if (result.outcome == AttemptOutcome::Replied)
             m_context.crashes.onReplied(*trial, m_registration.id, result.reply.status);
@@ -632,6 +640,8 @@
         }
         if (attempt.latencies)
             attempt.latencies->add(now - attempt.sentAt);
+        if (attempt.executions && attempt.hasFoundSlot)
+            attempt.executions->add(now - attempt.sentAt);
         noteReply(m_score, now - attempt.sentAt, attempt.usualLatency, now);
         return;
     }
--- a/modules/gateway/src/Calls.h
+++ b/modules/gateway/src/Calls.h
@@ -14,6 +14,8 @@
 struct Gateway::RouteState
 {
     std::shared_ptr<LatencyWindow> latencies = std::make_shared<LatencyWindow>();
+    /// Latencies of requests that found a free slot.
+    std::shared_ptr<LatencyWindow> executions = std::make_shared<LatencyWindow>();
     /// Credits of the weighted round robin over the route's services.
     std::vector<double> weightCredits;
 };
@@ -80,6 +82,9 @@
     /// Refuses the request, which has not been executed and will not be.
     /// `retryAfter` is when the caller may come back, if that is later than usual.
     void refuse(std::string_view cause, Duration retryAfter = {});
+    /// Refuses the request if load would make it miss its objective, and returns true then. Of the
+    /// services, `missable` need not answer.
+    bool refuseIfOverloaded(const std::vector<const ServiceId *> &services, std::size_t missable);
     /// Refuses after the current event has been handled. `cause` must be a string literal.
     void refuseLater(std::string_view cause, Duration retryAfter = {});
     /// Returns true if servers were lost while they executed the request, and refuses it then.
@@ -104,6 +109,7 @@
     const Route &m_route;
     std::shared_ptr<CrashTrial> m_trial;
     std::shared_ptr<LatencyWindow> m_latencies;
+    std::shared_ptr<LatencyWindow> m_executions;
     TimePoint m_deadline;
 
 private:
