--- a/modules/gateway/include/oleander/gateway/GatewayPolicy.h
+++ b/modules/gateway/include/oleander/gateway/GatewayPolicy.h
@@ -70,7 +70,8 @@
     /// coordinators may reach more servers than permitted.
     Duration coordinatorResponseTime = milliseconds(250);
     /// Whether requests of lower priorities are held back while servers are busy, so that those of
-    /// the highest priority find short queues.
+    /// the highest priority find short queues, and requests that would be late are refused. The
+    /// settings file switches it on (`loadControl`).
     bool isLoadControlled = true;
     /// Maximum number of gathered requests that this instance coordinates for others at a time.
     std::size_t coordinatedGathers = 128;
--- a/modules/settings/include/oleander/settings/GatewaySettings.h
+++ b/modules/settings/include/oleander/settings/GatewaySettings.h
@@ -51,7 +51,7 @@
     Duration extraWindow = seconds(10);
     /// Whether requests of lower priorities wait here while servers are busy, and requests that
     /// would be late are refused.
-    bool isLoadControlled = true;
+    bool isLoadControlled = false;
 
     bool operator==(const GatewaySettings &) const = default;
 };
--- a/modules/settings/src/GatewaySettings.cpp
+++ b/modules/settings/src/GatewaySettings.cpp
@@ -106,7 +106,7 @@
     if (const json *loadControl = reader.object("loadControl", Presence::Optional)) {
         ObjectReader controlReader(*loadControl, reader.pathOf("loadControl"), findings);
         settings.isLoadControlled =
-            controlReader.boolean("isEnabled", Presence::Required).value_or(true);
+            controlReader.boolean("isEnabled", Presence::Required).value_or(false);
         controlReader.finish();
     }
     reader.finish();
