Wording after a second reading: optional settings, margin, assertion; a key without the platform's name

Cause: a doc comment said that all keys are required and then named optional ones, two reasons had to be read twice, and a fuzz test used a key of the platform outside platform/. Change: words and the key only.

--- a/modules/adapters/tests/fuzz/PeerFuzzTest.cpp
+++ b/modules/adapters/tests/fuzz/PeerFuzzTest.cpp
@@ -228,7 +228,7 @@
 {
     msgpack::sbuffer buffer;
     const std::vector<RegistryItem> items{{"servers/i-1", R"({"service":"s"})", false},
-                                          {"op/config", "", true}};
+                                          {"configuration", "", true}};
     MessagePackWriter(buffer).write(items);
     const std::string plain(buffer.data(), buffer.size());
     fuzz::checkSeeded("compressed items", 2000, [&] {
--- a/modules/core/src/BoostAssertions.cpp
+++ b/modules/core/src/BoostAssertions.cpp
@@ -11,9 +11,8 @@
 namespace {
 
 /// Beast 1.74 asserts that five bytes of the last chunk are there when it looks for the end of the
-/// trailer again. An empty chunked body whose last chunk arrives as "0\r\n" and then "\r" has four;
-/// the parser handles them correctly, but the assertion let any
-/// sender end the process.
+/// trailer again. An empty chunked body whose last chunk arrives as "0\r\n" and then "\r" has four,
+/// which the parser handles correctly. Without this exception any sender could end the process.
 bool isKnownToBeWrong(std::string_view expression, std::string_view file)
 {
     return expression == "n >= 5" && file.ends_with("boost/beast/http/impl/basic_parser.ipp");
--- a/modules/decisions/src/request/AnswerMargin.cpp
+++ b/modules/decisions/src/request/AnswerMargin.cpp
@@ -17,7 +17,7 @@
 {
     if (!way.roundTrip)
         return marginOfUnknownWay;
-    // Half of it for ways that take twice as long as measured, as in bursts.
+    // Twice the round trip, since queues on the links lengthen the way in a burst of requests.
     return std::min(marginOfUnknownWay, 2 * *way.roundTrip + way.wakeUpLateness + processing);
 }
 
--- a/modules/settings/include/oleander/settings/GatewaySettings.h
+++ b/modules/settings/include/oleander/settings/GatewaySettings.h
@@ -59,7 +59,7 @@
 /// Reads a gateway's settings file, JSON. Keys: `instance`, `dataCentre`, `callerAddress`,
 /// `readinessAddress`, `metricsAddress`, `registryAddress`, `peerAddress`, `fleetKey`, `seeds`,
 /// `stopSeconds`, `heartbeatMs`, `descriptors`, `processorShare`, `extraLoad` with `share`,
-/// `allowance` and `windowSeconds`. All are required. Optional: `linkMbps`, `memoryMb`,
+/// `allowance` and `windowSeconds`, and three that may be left out: `linkMbps`, `memoryMb` and
 /// `loadControl` with `isEnabled`. Every fault is reported with its path.
 std::optional<GatewaySettings> readGatewaySettings(std::string_view text, Findings &findings);
 
