--- a/review/rig-2/Rig2.h
+++ b/review/rig-2/Rig2.h
@@ -499,16 +499,26 @@
         m_isRegistered = false;
         m_store.remove("servers/" + m_id);
     }
+    /// Reports `draining`, and says in all answers from now on that it is leaving.
+    void drain()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_isDraining = true;
+        }
+        beat();
+    }
     void close() { m_listener.close(); }
     [[nodiscard]] const std::string &id() const { return m_id; }
+    [[nodiscard]] std::string address() const { return m_listener.address(); }
     [[nodiscard]] std::size_t runs() const { return m_runs; }
 
 private:
     std::string entry()
     {
         return "{\"service\":\"" + m_service + "\",\"address\":\"" + m_listener.address()
-               + "\",\"zone\":\"" + m_zone
-               + "\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"warmupLeftMs\":0,\"seq\":"
+               + "\",\"zone\":\"" + m_zone + "\",\"version\":\"v1\",\"slots\":4,\"state\":\""
+               + (m_isDraining ? "draining" : "ready") + "\",\"warmupLeftMs\":0,\"seq\":"
                + std::to_string(++m_sequence) + ",\"born\":1700000000000}";
     }
 
@@ -528,7 +538,9 @@
                 sleepMs(m_workMs);
                 const std::string body(64, 'a');
                 answer = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: " + m_id + "."
-                         + id + "\r\nServer-Load: 1,0,4\r\nContent-Length: 64\r\n\r\n" + body;
+                         + id + "\r\nServer-Load: 1,0,4\r\n"
+                         + (m_isDraining ? "Server-Leaving: 1\r\n" : "")
+                         + "Content-Length: 64\r\n\r\n" + body;
             }
             if (!sendAll(fd, answer))
                 return;
@@ -542,6 +554,7 @@
     long m_workMs;
     std::mutex m_mutex;
     bool m_isRegistered = true;
+    std::atomic<bool> m_isDraining = false;
     long m_sequence = 0;
     std::atomic<std::size_t> m_runs = 0;
     Listener m_listener;
