--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -1,5 +1,5 @@
-// Clients whose requests have heads of legal size with many tokens in Connection and many fields.
-// Ordinary callers of the same machines must still get a final answer in their route's time.
+// Servers leave the store while the machine that reads it for the others starts again. The others
+// must not send them requests later than drainMs after that.
 
 #include "Rig2.h"
 
@@ -7,121 +7,32 @@
 
 namespace {
 
-constexpr int crowdSize = 100;
-constexpr long crowdMs = 12'000;
-constexpr int callersEach = 8;
-constexpr long routeTimeoutMs = 1200;
-constexpr long ruleSlackMs = 500;
-constexpr int callerDeadlineMs = 5000;
-/// Bytes of the tokens and of the fields; the limit on a head is 16,384.
-constexpr std::size_t tokenBytes = 7600;
-constexpr std::size_t fieldBytes = 7600;
+constexpr int otherServers = 140;
+constexpr int sameServiceServers = 6;
+constexpr int leavingServers = 4;
+constexpr int readers = 1;
+constexpr int followers = 4;
+constexpr int callersEach = 4;
+constexpr long workMs = 100;
+constexpr long drainMs = 3000;
+/// How long a server that has left the store goes on: drainMs, and here many seconds more.
+constexpr long servesOnMs = 12'000;
 
 std::string configuration()
 {
     return R"({"version":7,"routes":[{"name":"r-s4qmv29","host":"pupu76.example",)"
-           R"("prefix":"/timi402/","kind":"safe","timeoutMs":1200,"targetLatencyMs":800,)"
+           R"("prefix":"/timi402/","kind":"unsafe","timeoutMs":3000,"targetLatencyMs":800,)"
            R"("priority":2,"service":"kafi81c","maxAttempts":2}],"services":[{"name":"kafi81c",)"
-           R"("healthPath":"/health","maxConns":244,"protocol":"h1","tls":false}],"limits":{)"
-           R"("maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,)"
-           R"("idleTimeoutMs":15000}})";
+           R"("healthPath":"/health","maxConns":244,"protocol":"h1","tls":false},)"
+           R"({"name":"nylo40d","healthPath":"/health","maxConns":58,"protocol":"h1",)"
+           R"("tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
+           R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 }
 
-/// Many tokens and many fields, or with CROWD=plain two fields of as many bytes.
-std::string crowdFields()
+std::string numbered(const std::string &text, int number)
 {
-    const char *const kind = std::getenv("CROWD");
-    if (kind && std::string(kind) == "plain")
-        return "a:" + std::string(tokenBytes, 'x') + "\r\nb:" + std::string(fieldBytes, 'x')
-               + "\r\n";
-    std::string text = "Connection: keep-alive";
-    while (text.size() < tokenBytes)
-        text += ",a";
-    text += "\r\n";
-    const std::size_t end = text.size() + fieldBytes;
-    while (text.size() < end)
-        text += "b:\r\n";
-    return text;
-}
-
-struct Results
-{
-    std::mutex mutex;
-    int longer = 0;
-    int unanswered = 0;
-    int all = 0;
-    long longest = 0;
-    std::map<std::string, int> readinessMisses;
-};
-
-void call(const Gateway &gateway, int number, const std::atomic<bool> &isEnding, Results &results,
-          Record &record)
-{
-    int fd = -1;
-    std::string buffer;
-    for (int count = 0; !isEnding; ++count) {
-        if (fd < 0) {
-            fd = connectTo(gateway.number(), gateway.front());
-            buffer.clear();
-        }
-        const std::string id =
-            gateway.name() + "-" + std::to_string(number) + "-" + std::to_string(count);
-        const long sentAt = nowMs();
-        sendAll(fd, requestText("GET", "/timi402/" + std::to_string(count), id, callerDeadlineMs));
-        const auto answer = readMessage(fd, buffer, callerDeadlineMs);
-        const long lasted = nowMs() - sentAt;
-        if (!answer) {
-            ::close(fd);
-            fd = -1;
-        }
-        const std::lock_guard lock(results.mutex);
-        ++results.all;
-        results.longest = std::max(results.longest, lasted);
-        results.longer += lasted > routeTimeoutMs ? 1 : 0;
-        results.unanswered += lasted > routeTimeoutMs + ruleSlackMs ? 1 : 0;
-        if (lasted > routeTimeoutMs)
-            record.line("request " + id + ": "
-                        + (answer ? "answered " + std::to_string(answer->status())
-                                  : std::string("no answer"))
-                        + " after " + std::to_string(lasted) + " ms");
-    }
-    if (fd >= 0)
-        ::close(fd);
-}
-
-/// One client of the crowd: a request after the other on a kept connection.
-void press(const Gateway &gateway, int number, std::atomic<int> &answered)
-{
-    const std::string fields = crowdFields();
-    const int fd = connectTo(gateway.number(), gateway.front());
-    std::string buffer;
-    const long end = nowMs() + crowdMs;
-    for (int count = 0; nowMs() < end; ++count) {
-        sendAll(fd, requestText("GET", "/timi402/x",
-                                "crowd-" + std::to_string(number) + "-" + std::to_string(count),
-                                callerDeadlineMs, fields));
-        if (!readMessage(fd, buffer, end - nowMs()))
-            break;
-        ++answered;
-    }
-    ::close(fd);
-}
-
-/// Asks each second whether the machine is ready, as the platform does.
-void askReadiness(const Gateway &gateway, const std::atomic<bool> &isEnding, Results &results,
-                  Record &record)
-{
-    while (!isEnding) {
-        const long askedAt = nowMs();
-        const int status = gateway.readiness();
-        if (status != 200) {
-            record.line(gateway.name() + " readiness: "
-                        + (status == 0 ? "no answer in 1 s" : std::to_string(status)));
-            const std::lock_guard lock(results.mutex);
-            ++results.readinessMisses[gateway.name()];
-        }
-        sleepMs(std::max(0L, askedAt + 1000 - nowMs()));
-    }
+    const std::string digits = std::to_string(number);
+    return text + std::string(3 - digits.size(), '0') + digits;
 }
 
 } // namespace
@@ -136,24 +47,51 @@
     // The same on all machines.
     const int peersPort = freePort("127.0.0.11");
     Store store;
-    Results results;
     store.put("op/config", configuration());
     std::vector<std::unique_ptr<Server>> servers;
     std::vector<Server *> all;
-    for (int number = 0; number < 4; ++number) {
-        servers.push_back(std::make_unique<Server>(store, "i-" + std::to_string(number), "kafi81c",
-                                                   "cdmx-a", 50));
+    std::vector<Server *> leaving;
+    std::mutex mutex;
+    long leftAt = 0;
+    std::map<std::string, int> late;
+    int early = 0;
+    const auto add = [&](const std::string &id, const std::string &service) {
+        servers.push_back(std::make_unique<Server>(store, id, service, "cdmx-a", workMs));
         all.push_back(servers.back().get());
+    };
+    for (int number = 0; number < otherServers; ++number)
+        add(numbered("i-1", number), "nylo40d");
+    for (int number = 0; number < sameServiceServers; ++number)
+        add(numbered("i-2", number), "kafi81c");
+    for (int number = 0; number < leavingServers; ++number) {
+        add(numbered("i-9", number), "kafi81c");
+        leaving.push_back(all.back());
+        all.back()->onRun = [&](const Server &server, const Message &request) {
+            const std::lock_guard lock(mutex);
+            if (leftAt == 0)
+                return;
+            const long since = nowMs() - leftAt;
+            const bool isLate = since > drainMs;
+            const std::string id = request.field("request-id");
+            ++(isLate ? late[id.substr(0, id.rfind('-'))] : early);
+            if (isLate)
+                record.line("request " + id + " reaches " + server.id() + " "
+                            + std::to_string(since) + " ms after its entry was removed");
+        };
     }
+    // The servers that leave write their entries at different times, like all others.
+    for (std::size_t index = 0; index < leaving.size(); ++index)
+        std::swap(all[index * all.size() / leaving.size()],
+                  all[all.size() - leaving.size() + index]);
     int result = 0;
     {
         Heartbeats beats(all);
         std::vector<std::unique_ptr<Gateway>> gateways;
-        const std::string numbers[] = {"127.0.0.11", "127.0.0.12"};
-        for (const std::string &number : numbers) {
+        for (int number = 0; number < readers + followers; ++number) {
             gateways.push_back(std::make_unique<Gateway>(
-                values[1], folder.path(), "front-" + std::to_string(gateways.size() + 1), number,
-                "cdmx-a", store.address(), std::vector<std::string>{"127.0.0.11"}, peersPort));
+                values[1], folder.path(), "front-" + std::to_string(number + 1),
+                "127.0.0." + std::to_string(11 + number), "cdmx-a", store.address(),
+                std::vector<std::string>{"127.0.0.11"}, peersPort));
             gateways.back()->start();
         }
         for (const auto &gateway : gateways) {
@@ -163,47 +101,95 @@
             }
         }
         std::atomic<bool> isEnding = false;
-        std::vector<std::thread> threads;
-        for (const auto &gateway : gateways) {
-            threads.emplace_back([&] { askReadiness(*gateway, isEnding, results, record); });
-            for (int number = 0; number < callersEach; ++number)
-                threads.emplace_back(
-                    [&, number] { call(*gateway, number, isEnding, results, record); });
+        std::atomic<int> answered = 0;
+        std::vector<std::thread> callers;
+        std::atomic<int> lost = 0;
+        for (int number = 0; number < followers * callersEach; ++number) {
+            callers.emplace_back([&, number] {
+                const Gateway &gateway =
+                    *gateways[static_cast<std::size_t>(readers + number / callersEach)];
+                const int fd = connectTo(gateway.number(), gateway.front());
+                std::string buffer;
+                for (int request = 0; !isEnding; ++request) {
+                    const std::string id = gateway.name() + "-"
+                                           + std::to_string(number % callersEach) + "."
+                                           + std::to_string(request);
+                    sendAll(fd, requestText("POST", "/timi402/" + std::to_string(request), id, 3000,
+                                            "Content-Length: 0\r\n"));
+                    const auto answer = readMessage(fd, buffer, 4000);
+                    if (!answer)
+                        break;
+                    if (answer->status() == 200) {
+                        ++answered;
+                        continue;
+                    }
+                    record.line("request " + id + " is answered " + std::to_string(answer->status())
+                                + ": " + answer->body);
+                    lost += answer->status() == 502 ? 1 : 0;
+                    sleepMs(100);
+                }
+                ::close(fd);
+            });
         }
         // The machines are in touch after settleWindowMs, 4 s.
-        sleepMs(6000);
-        std::atomic<int> answered = 0;
+        sleepMs(7000);
+        Gateway &reader = *gateways.front();
+        const long begin = nowMs();
+        std::atomic<bool> isFrozen = false;
         if (isTrouble()) {
-            record.line("crowd of " + std::to_string(crowdSize) + " clients for each machine, "
-                        + std::to_string(crowdFields().size()) + " bytes of fields a request");
-            std::vector<std::thread> crowd;
-            for (const auto &gateway : gateways) {
-                for (int number = 0; number < crowdSize; ++number)
-                    crowd.emplace_back([&, number] { press(*gateway, number, answered); });
-            }
-            for (std::thread &thread : crowd)
-                thread.join();
-            record.line("crowd has left, " + std::to_string(answered)
-                        + " of its requests were answered");
-        } else {
-            sleepMs(crowdMs);
+            reader.kill();
+            record.line("front-1, the seed, is killed");
+            sleepMs(1150);
+            store.onCall = [&](const std::string &target) {
+                if (target.find("after=") != std::string::npos
+                    && target.find("kv-range") != std::string::npos && !isFrozen.exchange(true)) {
+                    reader.signal(SIGSTOP);
+                    record.line("front-1 freezes while it reads the store: " + target);
+                }
+            };
+            reader.start();
+            record.line("front-1 is started again");
         }
-        sleepMs(3000);
+        sleepMs(begin + 1720 - nowMs());
+        {
+            const std::lock_guard lock(mutex);
+            for (Server *server : leaving)
+                server->leaveTheStore();
+            leftAt = nowMs();
+        }
+        record.line("the entries of " + std::to_string(leavingServers)
+                    + " servers are removed; they go on for " + std::to_string(servesOnMs) + " ms");
+        sleepMs(begin + 1850 - nowMs());
+        if (isTrouble()) {
+            reader.signal(SIGCONT);
+            record.line("front-1 wakes");
+        }
+        sleepMs(leftAt + servesOnMs - nowMs());
+        for (Server *server : leaving)
+            server->close();
+        record.line("the servers that left have ended");
+        sleepMs(1500);
         isEnding = true;
-        for (std::thread &thread : threads)
+        for (std::thread &thread : callers)
             thread.join();
-        for (const auto &gateway : gateways)
-            record.line(gateway->name() + ": process "
-                        + (gateway->hasEnded() ? "has ended" : "lives") + ", readiness missed "
-                        + std::to_string(results.readinessMisses[gateway->name()]) + " times");
-        record.line("ordinary callers: " + std::to_string(results.all) + " requests, "
-                    + std::to_string(results.longer) + " lasted longer than timeoutMs, "
-                    + std::to_string(results.unanswered)
-                    + " of these had no final answer 0.5 s after it; longest "
-                    + std::to_string(results.longest) + " ms");
-        const bool isBroken = results.unanswered >= 8 && 4 * results.unanswered > results.longer;
-        record.line(std::string("CONFIG: ") + (isBroken ? "broken" : "held"));
-        result = isBroken ? 1 : 0;
+        if (isTrouble() && !isFrozen) {
+            record.line("front-1 did not read the store in pages: the case can not run");
+            return 2;
+        }
+        int lateRequests = 0;
+        const std::lock_guard lock(mutex);
+        for (const auto &[machine, requests] : late) {
+            lateRequests += requests;
+            record.line(machine + " sent " + std::to_string(requests)
+                        + " requests later than drainMs");
+        }
+        record.line(std::to_string(lost)
+                    + " unsafe requests lost with the servers that ended (502, may have run)");
+        record.line(std::to_string(answered) + " requests answered; " + std::to_string(early)
+                    + " reached servers that had left within drainMs, "
+                    + std::to_string(lateRequests) + " later");
+        record.line(std::string("DRAIN: ") + (lateRequests > 0 ? "broken" : "held"));
+        result = lateRequests > 0 ? 1 : 0;
     }
     for (const auto &server : servers)
         server->close();
