--- a/review/rig-2/Rig2.h
+++ b/review/rig-2/Rig2.h
@@ -27,6 +27,7 @@
 #include <signal.h>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -640,6 +641,8 @@
     {
         const pid_t process = ::fork();
         if (process == 0) {
+            // Not to outlive the script, however it ends.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int log = ::open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(log, 1);
             ::dup2(log, 2);
@@ -680,7 +683,7 @@
         long resident = 0;
         file >> total >> resident;
         return static_cast<double>(resident) * static_cast<double>(::sysconf(_SC_PAGESIZE))
-               / 1'000'000;
+               / 1'048'576;
     }
     /// The status of one question at the readiness address; 0 without an answer in a second.
     [[nodiscard]] int readiness() const
