Log the revisions of listings and of changes of the registry's source

Cause: whether an instance holds a position inside the span of a reader's listing could not be told. Change: RegistryListed, and revision and heldRevision in RegistrySourceChanged.

--- a/modules/core/include/oleander/core/Event.h
+++ b/modules/core/include/oleander/core/Event.h
@@ -37,6 +37,7 @@
     RegistryRestored = 228,
     EvacuationStarted = 229,
     EvacuationEnded = 230,
+    RegistryListed = 231,
     QueryRefused = 300,
     QueryPartial = 301,
     QueryFailed = 302,
--- a/modules/core/src/Event.cpp
+++ b/modules/core/src/Event.cpp
@@ -58,6 +58,8 @@
               "the servers of a data centre get no further requests"},
     EventInfo{EventId::EvacuationEnded, Info, "EvacuationEnded",
               "the servers of a data centre get requests again"},
+    EventInfo{EventId::RegistryListed, Info, "RegistryListed",
+              "the whole content of the registry was read"},
     EventInfo{EventId::QueryRefused, Info, "QueryRefused", "a query was refused and not executed"},
     EventInfo{EventId::QueryPartial, Info, "QueryPartial",
               "an answer does not cover all requested shards"},
--- a/modules/gateway/src/RegistryFollower.cpp
+++ b/modules/gateway/src/RegistryFollower.cpp
@@ -92,6 +92,11 @@
     }
     noteRestored(*m_firstPagePosition);
     m_position = *m_firstPagePosition;
+    m_log.record(EventId::RegistryListed, {},
+                 {{"prefix", m_prefix},
+                  {"items", m_items.size()},
+                  {"firstRevision", m_position.revision},
+                  {"lastRevision", answer.position.revision}});
     m_completeAsOf = answer.isFromPeer ? m_timer.now() - answer.age : m_listStarted;
     m_listener.onItems(std::exchange(m_items, {}), m_position);
     watch();
--- a/modules/gateway/src/SharedRegistryReader.cpp
+++ b/modules/gateway/src/SharedRegistryReader.cpp
@@ -213,7 +213,10 @@
     if ((isSuccess || answer.isFromPeer) && source != m_source) {
         m_source = source;
         m_log.record(EventId::RegistrySourceChanged, {},
-                     {{"source", source}, {"ageMs", inMilliseconds(answer.age)}});
+                     {{"source", source},
+                      {"ageMs", inMilliseconds(answer.age)},
+                      {"revision", answer.position.revision},
+                      {"heldRevision", m_deliveredPosition.revision}});
     }
     if (isSuccess)
         m_deliveredPosition = advanced(m_deliveredPosition, answer.position);
