A reader's copy tells of changes that were made while it listed the registry

Cause: all that a listing found and lacked was taken as of its first page, and an event was noted only if it changed the content. An instance with a position inside the listing was never told of a removal whose entry a later page lacked already, nor of a state that a later page already had.

Evidence: the reader's listing ran from revision 1174 to 1261, the others held 1228 and 1229; they were told of the one server on the first page, and not of the three on later ones.

Change: events of servers are noted at their position until those made during the listing have arrived; the history has a gap between the last changes received and a later listing; a listing that is repeated before then begins a new history. An instance whose position the history does not contain reads all items.

--- a/modules/daemon/src/GatewayDaemon.cpp
+++ b/modules/daemon/src/GatewayDaemon.cpp
@@ -226,9 +226,9 @@
 
     // RegistryListener
     void onItems(const std::vector<gateway::RegistryItem> &items,
-                 gateway::RegistryPosition position) override
+                 const gateway::ListedSpan &span) override
     {
-        m_view.onItems(items, position);
+        m_view.onItems(items, span);
         m_share.onChanged();
     }
     void onChanges(const std::vector<gateway::RegistryItem> &changes,
--- a/modules/daemon/src/RegistryView.cpp
+++ b/modules/daemon/src/RegistryView.cpp
@@ -20,10 +20,9 @@
 {
 }
 
-void RegistryView::onItems(const std::vector<RegistryItem> &items,
-                           gateway::RegistryPosition position)
+void RegistryView::onItems(const std::vector<RegistryItem> &items, const gateway::ListedSpan &span)
 {
-    if (m_copy.isComplete() && !gateway::isSameHistory(position, m_copy.position()))
+    if (m_copy.isComplete() && !gateway::isSameHistory(span.first, m_copy.position()))
         onRestored();
     m_heldBack.clear();
     std::vector<gateway::ServerRegistration> registrations;
@@ -44,7 +43,7 @@
         if (const auto *known = m_directory.find(registration->id))
             registrations.push_back(*known);
     }
-    m_copy.replaceAll(mattering, position, [this](const auto &held, const auto &given) {
+    m_copy.replaceAll(mattering, span, [this](const auto &held, const auto &given) {
         return hasSameMeaning(held, given);
     });
     // Before the servers, so that those of an evacuated data centre get no request at the start.
@@ -57,6 +56,7 @@
 {
     for (const RegistryItem &item : changes)
         applyChange(item, position);
+    m_copy.setReceived(position);
 }
 
 void RegistryView::applyChange(const RegistryItem &item, gateway::RegistryPosition position)
@@ -70,8 +70,13 @@
         applyEvacuationChange(item, position);
         return;
     }
-    if (!isServer(item))
-        return;
+    if (isServer(item))
+        applyServerChange(item, position);
+}
+
+void RegistryView::applyServerChange(const RegistryItem &item, gateway::RegistryPosition position)
+{
+    const bool mustNote = !m_copy.hasChangesOfListing();
     m_heldBack.erase(item.key);
     const RegistryItem *held = m_copy.find(item.key);
     auto registration = item.isRemoved ? std::nullopt : readServer(item);
@@ -79,12 +84,12 @@
         // Most changes are renewals, which say nothing new. The copy has the entries that are held
         // back, too.
         const bool isNew = m_directory.put(std::move(*registration)) || !held;
-        if (isNew || (isRestoring() && !hasSameMeaning(*held, item)))
+        if (isNew || mustNote || (isRestoring() && !hasSameMeaning(*held, item)))
             m_copy.note(item, position);
         return;
     }
     m_directory.remove(ServerId(item.key.substr(m_platform.serverPrefix.size())), m_timer.now());
-    if (held)
+    if (held || mustNote)
         m_copy.note({item.key, {}, true}, position);
 }
 
--- a/modules/daemon/src/RegistryView.h
+++ b/modules/daemon/src/RegistryView.h
@@ -37,7 +37,7 @@
                  Evacuate evacuate);
 
     void onItems(const std::vector<gateway::RegistryItem> &items,
-                 gateway::RegistryPosition position) override;
+                 const gateway::ListedSpan &span) override;
     void onChanges(const std::vector<gateway::RegistryItem> &changes,
                    gateway::RegistryPosition position) override;
     void onReconnected(Duration outage) override;
@@ -56,6 +56,7 @@
     [[nodiscard]] DataCentreId evacuatedBy(const std::string &key) const;
     std::optional<gateway::ServerRegistration> readServer(const gateway::RegistryItem &item);
     void applyChange(const gateway::RegistryItem &item, gateway::RegistryPosition position);
+    void applyServerChange(const gateway::RegistryItem &item, gateway::RegistryPosition position);
     /// Returns false if a later configuration is in force.
     bool applyConfiguration(const gateway::RegistryItem &item);
     /// The configuration to be kept in the copy: the registry's, or the held one if that is later.
--- a/modules/gateway/include/oleander/gateway/Registry.h
+++ b/modules/gateway/include/oleander/gateway/Registry.h
@@ -28,6 +28,26 @@
     return isSameHistory(held, given) ? std::max(held, given) : given;
 }
 
+/// The positions of the first and the last page of a listing. The content is complete up to the
+/// first; of the changes between the two it has those that were made before their page was read.
+struct ListedSpan
+{
+    ListedSpan() = default;
+    /// A listing that is of one position.
+    ListedSpan(RegistryPosition position)
+        : ListedSpan(position, position)
+    {
+    }
+    ListedSpan(RegistryPosition firstPage, RegistryPosition lastPage)
+        : first(firstPage)
+        , last(lastPage)
+    {
+    }
+
+    RegistryPosition first;
+    RegistryPosition last;
+};
+
 enum class RegistryError {
     None,
     /// No answer, or the connection failed.
--- a/modules/gateway/include/oleander/gateway/RegistryCopy.h
+++ b/modules/gateway/include/oleander/gateway/RegistryCopy.h
@@ -21,13 +21,22 @@
     /// Returns true if two items of the same key have equal content apart from lease renewals.
     using Equivalence = std::function<bool(const RegistryItem &held, const RegistryItem &given)>;
 
-    /// Replaces the content with that of the registry at a position. Missing items are marked as
-    /// removed, and equivalent items keep their position. In another epoch than before, no earlier
-    /// position has a history.
-    void replaceAll(const std::vector<RegistryItem> &items, RegistryPosition position,
+    /// Replaces the content with that of a listing. Missing items are marked as removed, and
+    /// equivalent items keep their position. In another epoch than before, no earlier position has
+    /// a history. In the same epoch, changes between the last ones received and the listing are
+    /// missing from the history.
+    void replaceAll(const std::vector<RegistryItem> &items, const ListedSpan &span,
                     const Equivalence &isEquivalent);
     /// Stores an item that was changed or removed at `position` or earlier.
     void note(const RegistryItem &item, RegistryPosition position);
+    /// Must be called when all changes up to `position` have been received, and those that matter
+    /// were passed to note().
+    void setReceived(RegistryPosition position);
+
+    /// Returns false until the changes made during the last listing have been received. They may be
+    /// in the content already, so each of them must be passed to note(), whether it changes the
+    /// content or not: other instances may have read the registry before it.
+    [[nodiscard]] bool hasChangesOfListing() const { return !(m_received < m_listedUpTo); }
 
     /// Returns the item of this key, or null if there is none.
     [[nodiscard]] const RegistryItem *find(const std::string &key) const;
@@ -55,6 +64,13 @@
     RegistryPosition m_position;
     /// The history is complete only after this position.
     RegistryPosition m_historyStart;
+    /// Changes between these two positions were missed before the last listing.
+    RegistryPosition m_gapStart;
+    RegistryPosition m_gapEnd;
+    /// All changes up to this position were received.
+    RegistryPosition m_received;
+    /// Position of the last page of the last listing.
+    RegistryPosition m_listedUpTo;
     bool m_isComplete = false;
 };
 
--- a/modules/gateway/include/oleander/gateway/RegistryFollower.h
+++ b/modules/gateway/include/oleander/gateway/RegistryFollower.h
@@ -40,7 +40,7 @@
 
     /// Called with all items of the prefix. Pages are read one after another, so the items may be
     /// of different positions; changes since the first page follow through onChanges().
-    virtual void onItems(const std::vector<RegistryItem> &items, RegistryPosition position) = 0;
+    virtual void onItems(const std::vector<RegistryItem> &items, const ListedSpan &span) = 0;
     virtual void onChanges(const std::vector<RegistryItem> &changes, RegistryPosition position) = 0;
     /// Called when the registry answers again after an outage of this length.
     virtual void onReconnected(Duration outage) = 0;
--- a/modules/gateway/src/RegistryCopy.cpp
+++ b/modules/gateway/src/RegistryCopy.cpp
@@ -5,10 +5,13 @@
 
 namespace oleander::gateway {
 
-void RegistryCopy::replaceAll(const std::vector<RegistryItem> &items, RegistryPosition position,
+void RegistryCopy::replaceAll(const std::vector<RegistryItem> &items, const ListedSpan &span,
                               const Equivalence &isEquivalent)
 {
-    const bool isNewHistory = !m_isComplete || !isSameHistory(position, m_position);
+    const RegistryPosition position = span.first;
+    // What changed during an earlier listing can't be told from what it found.
+    const bool isNewHistory =
+        !m_isComplete || !isSameHistory(position, m_position) || !hasChangesOfListing();
     std::unordered_set<std::string> present;
     for (const RegistryItem &item : items) {
         present.insert(item.key);
@@ -24,10 +27,23 @@
     }
     for (const std::string &key : absent)
         note({key, {}, true}, position);
-    if (isNewHistory)
+    if (isNewHistory) {
         m_historyStart = position;
+        m_gapStart = m_gapEnd = position;
+    } else if (m_received < position) {
+        m_historyStart = std::max(m_historyStart, m_gapEnd);
+        m_gapStart = m_received;
+        m_gapEnd = position;
+    }
     m_isComplete = true;
     m_position = advanced(m_position, position);
+    m_received = advanced(m_received, position);
+    m_listedUpTo = span.last;
+}
+
+void RegistryCopy::setReceived(RegistryPosition position)
+{
+    m_received = advanced(m_received, position);
 }
 
 void RegistryCopy::note(const RegistryItem &item, RegistryPosition position)
@@ -63,7 +79,9 @@
 
 std::optional<std::vector<RegistryItem>> RegistryCopy::since(RegistryPosition position) const
 {
-    if (!m_isComplete || position < m_historyStart || !isSameHistory(position, m_position))
+    const bool isInGap = m_gapStart < position && position < m_gapEnd;
+    if (!m_isComplete || position < m_historyStart || isInGap
+        || !isSameHistory(position, m_position))
         return std::nullopt;
     std::vector<RegistryItem> result;
     if (!(position < m_position))
--- a/modules/gateway/src/RegistryFollower.cpp
+++ b/modules/gateway/src/RegistryFollower.cpp
@@ -98,7 +98,7 @@
                   {"firstRevision", m_position.revision},
                   {"lastRevision", answer.position.revision}});
     m_completeAsOf = answer.isFromPeer ? m_timer.now() - answer.age : m_listStarted;
-    m_listener.onItems(std::exchange(m_items, {}), m_position);
+    m_listener.onItems(std::exchange(m_items, {}), {m_position, answer.position});
     watch();
 }
 
