Log the verdict on a server that closed a connection under a request

Cause: nothing told that a lost connection was taken for one of a living server. Change: ServerEndChecked, with the verdict, its evidence and the number of requests.

--- a/modules/core/include/oleander/core/Event.h
+++ b/modules/core/include/oleander/core/Event.h
@@ -53,6 +53,7 @@
     ServerRateLimit = 406,
     ServerCold = 407,
     ServerWarm = 408,
+    ServerEndChecked = 409,
     CrashSuspicion = 410,
     CrashRefusal = 411,
     CrashSuspicionCleared = 412,
--- a/modules/core/src/Event.cpp
+++ b/modules/core/src/Event.cpp
@@ -87,6 +87,8 @@
               "a backend server is cold, and gets only what its service allows"},
     EventInfo{EventId::ServerWarm, Info, "ServerWarm",
               "a backend server is no longer cold, and gets its usual requests in steps"},
+    EventInfo{EventId::ServerEndChecked, Info, "ServerEndChecked",
+              "it was checked whether a backend server that closed a connection has ended"},
     EventInfo{EventId::CrashSuspicion, Warning, "CrashSuspicion",
               "a backend server was lost while it executed a query"},
     EventInfo{EventId::CrashRefusal, Warning, "CrashRefusal",
--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -135,7 +135,7 @@
     void onClosed(Connection &connection, LinkEnd end);
     /// Checks on a new connection whether the server, which closed one under a request, has ended.
     void checkEnded(const AttemptPtr &attempt);
-    void onChecked(bool hasEnded);
+    void onChecked(bool hasEnded, const char *evidence);
     /// Returns requests that have not been sent to their calls, which choose another server. Called
     /// whenever the server stops being usable.
     void failWaiting();
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -201,7 +201,7 @@
     const bool isRestarted = hasNewProcess || registration.address != m_registration.address;
     // A check of the process before would not end any more.
     if (isRestarted)
-        onChecked(hasNewProcess);
+        onChecked(hasNewProcess, "registration");
     m_registration = std::move(registration);
     if (isRestarted) {
         m_isAddressReused = false;
@@ -315,7 +315,7 @@
     m_isRetired = true;
     m_probe.reset();
     failWaiting();
-    onChecked(false);
+    onChecked(false, "not registered");
     std::erase_if(m_connections, [](const auto &connection) { return !connection->current(); });
 }
 
@@ -494,7 +494,7 @@
     if (std::exchange(m_isConnectionLost, false))
         assumeCold("new connection after a loss");
     if (connection.openedAt() >= m_lastClosedAt)
-        onChecked(false);
+        onChecked(false, "connection opened");
     sendWaiting();
 }
 
@@ -536,7 +536,7 @@
         finish(attempt, {AttemptOutcome::Lost, {}});
     }
     if (end == LinkEnd::NotOpened) {
-        onChecked(true);
+        onChecked(true, "connection not opened");
         const Duration ejectionTime = noteConnectFailure(m_score, m_context.timer.now());
         m_context.log.record(EventId::ServerEjected, {},
                              {{"server", m_registration.id.text()},
@@ -559,7 +559,7 @@
     const TimePoint now = m_context.timer.now();
     m_lastClosedAt = now;
     if (m_isRetired) {
-        onChecked(false);
+        onChecked(false, "not registered");
         return;
     }
     const bool isChecking = std::ranges::any_of(m_connections, [now](const auto &connection) {
@@ -569,8 +569,15 @@
         openConnection();
 }
 
-void BackendServer::onChecked(bool hasEnded)
+void BackendServer::onChecked(bool hasEnded, const char *evidence)
 {
+    if (m_unverified.empty())
+        return;
+    m_context.log.record(EventId::ServerEndChecked, {},
+                         {{"server", m_registration.id.text()},
+                          {"hasEnded", hasEnded},
+                          {"evidence", evidence},
+                          {"requests", m_unverified.size()}});
     m_context.crashes.onServerChecked(std::exchange(m_unverified, {}), m_registration.id, hasEnded);
 }
 
