A query that servers survive is not refused for two coincidences with a crashing one

Cause: two servers lost while they held a query refuse it, whatever it did before. A query that another one shares servers with, as sent by other instances, loses two within a millisecond; once refused, it is never sent again, so nothing can clear it.

Change: CrashMemory remembers which fingerprints servers survived in the last minute, at most 4096. For these, losses within half a second count once, and five are needed for a refusal; until then they are sent alone, and the first survivor clears them. Where requests share a server that has ended, those not known to be survivable take the blame. A query that crashes each server has no survivor and is refused after two as before; one that begins to crash servers costs three more.

--- a/modules/decisions/include/oleander/decisions/request/CrashMemory.h
+++ b/modules/decisions/include/oleander/decisions/request/CrashMemory.h
@@ -25,6 +25,9 @@
     Duration resourceRefusal = seconds(60);
     /// Number of lost servers after which a fingerprint is refused.
     int serverLimit = 2;
+    /// The same for a fingerprint that is known to be harmless, which may have shared servers with
+    /// another one that crashes them, or that other instances sent.
+    int harmlessServerLimit = 5;
 };
 
 /// The rules that the policy of a query contains.
@@ -64,7 +67,11 @@
 struct CrashMemory
 {
     std::unordered_map<Fingerprint, CrashRecord> records;
+    /// When a server last survived the execution, of at most maximumSurvivals fingerprints.
+    std::unordered_map<Fingerprint, TimePoint> survivals;
     TimePoint lastCleanUp{};
+
+    static constexpr std::size_t maximumSurvivals = 4096;
 };
 
 /// How a query may be sent to servers, depending on the history of its fingerprint.
@@ -109,11 +116,15 @@
 void noteHarmless(CrashMemory &memory, Fingerprint fingerprint, TimePoint now,
                   const CrashRules &rules);
 
-/// Records that a server executed a suspected query and replied, where all servers execute the
-/// whole query: one that survives shows that the query does not crash servers. Clears what was
-/// attributed to the fingerprint. Returns true if anything was.
+/// Records that a server executed a query and replied, where all servers execute the whole query:
+/// one that survives shows that the query does not crash servers. Clears what was attributed to the
+/// fingerprint. Returns true if anything was.
 bool noteSurvived(CrashMemory &memory, Fingerprint fingerprint, TimePoint when);
 
+/// Whether a server has executed the query without crashing recently.
+[[nodiscard]] bool isKnownHarmless(const CrashMemory &memory, Fingerprint fingerprint,
+                                   TimePoint now);
+
 /// What one instance tells another of a fingerprint.
 struct CrashReport
 {
--- a/modules/decisions/src/request/CrashMemory.cpp
+++ b/modules/decisions/src/request/CrashMemory.cpp
@@ -11,19 +11,23 @@
 constexpr Duration cleanUpPeriod = seconds(10);
 /// Servers that are lost within this time are assumed to have failed for the same reason.
 constexpr Duration correlationWindow = milliseconds(500);
+/// How long it is remembered that a server survived the execution of a query.
+constexpr Duration survivalMemory = seconds(60);
 
 bool isSuspected(const CrashRecord &record, TimePoint now, const CrashRules &rules)
 {
     return record.attributedLoss > 0 && now < record.lastLoss + rules.refusal;
 }
 
-bool attributeLoss(CrashRecord &record, const ServerId &server, std::int64_t share, TimePoint when)
+bool attributeLoss(CrashMemory &memory, const AttributedLoss &loss, TimePoint when)
 {
+    const auto &[fingerprint, server, share] = loss;
+    CrashRecord &record = memory.records[fingerprint];
     if ((record.survivedAt && when <= *record.survivedAt)
         || std::ranges::find(record.servers, server) != record.servers.end())
         return false;
-    const bool isHarmless = when < record.harmlessUntil;
-    if (isHarmless && !record.servers.empty() && when < record.lastLoss + correlationWindow)
+    if (isKnownHarmless(memory, fingerprint, when) && !record.servers.empty()
+        && when < record.lastLoss + correlationWindow)
         return false;
     record.servers.push_back(server);
     record.attributedLoss += share;
@@ -31,6 +35,22 @@
     return true;
 }
 
+/// Remembers the survival, and forgets the older half of the others when there are too many.
+void noteSurvival(CrashMemory &memory, Fingerprint fingerprint, TimePoint when)
+{
+    TimePoint &survivedAt = memory.survivals[fingerprint];
+    survivedAt = std::max(survivedAt, when);
+    if (memory.survivals.size() <= CrashMemory::maximumSurvivals)
+        return;
+    std::vector<TimePoint> times;
+    times.reserve(memory.survivals.size());
+    for (const auto &[survivor, time] : memory.survivals)
+        times.push_back(time);
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::ranges::nth_element(times, middle);
+    std::erase_if(memory.survivals, [&](const auto &entry) { return entry.second <= *middle; });
+}
+
 /// Clears the losses up to `when`, at which a server survived the execution. Returns true if there
 /// were any.
 bool clear(CrashRecord &record, TimePoint when)
@@ -71,9 +91,10 @@
     const auto found = memory.records.find(fingerprint);
     if (found != memory.records.end()) {
         const CrashRecord &record = found->second;
-        const bool isHarmless = now < record.harmlessUntil;
+        const bool isHarmless = isKnownHarmless(memory, fingerprint, now);
         if (isSuspected(record, now, rules)) {
-            const bool isOverLimit = static_cast<int>(record.servers.size()) >= rules.serverLimit
+            const int limit = isHarmless ? rules.harmlessServerLimit : rules.serverLimit;
+            const bool isOverLimit = static_cast<int>(record.servers.size()) >= limit
                                      && record.attributedLoss >= wholeServer;
             if (isOverLimit)
                 return DispatchDecision::Refuse;
@@ -105,13 +126,13 @@
     const auto count = static_cast<std::int64_t>(distinct.size());
     const std::int64_t share = (wholeServer + count - 1) / count;
     for (const Fingerprint fingerprint : distinct)
-        attributeLoss(memory.records[fingerprint], server, share, now);
+        attributeLoss(memory, {fingerprint, server, share}, now);
     return share;
 }
 
 bool noteLoss(CrashMemory &memory, const AttributedLoss &loss, TimePoint when)
 {
-    return attributeLoss(memory.records[loss.fingerprint], loss.server, loss.share, when);
+    return attributeLoss(memory, loss, when);
 }
 
 void notePeerLoss(CrashMemory &memory, Fingerprint fingerprint, const ServerId &server,
@@ -132,8 +153,18 @@
     record.harmlessUntil = now + rules.harmlessMemory;
 }
 
+bool isKnownHarmless(const CrashMemory &memory, Fingerprint fingerprint, TimePoint now)
+{
+    const auto record = memory.records.find(fingerprint);
+    if (record != memory.records.end() && now < record->second.harmlessUntil)
+        return true;
+    const auto survival = memory.survivals.find(fingerprint);
+    return survival != memory.survivals.end() && now < survival->second + survivalMemory;
+}
+
 bool noteSurvived(CrashMemory &memory, Fingerprint fingerprint, TimePoint when)
 {
+    noteSurvival(memory, fingerprint, when);
     const auto found = memory.records.find(fingerprint);
     return found != memory.records.end() && clear(found->second, when);
 }
@@ -159,8 +190,10 @@
         }
         const auto servers = static_cast<std::int64_t>(record.servers.size());
         const std::int64_t share = (record.attributedLoss + servers - 1) / servers;
+        const int limit = isKnownHarmless(memory, fingerprint, now) ? rules.harmlessServerLimit
+                                                                    : rules.serverLimit;
         const std::int64_t needed =
-            std::max<std::int64_t>(rules.serverLimit, (wholeServer + share - 1) / share);
+            std::max<std::int64_t>(limit, (wholeServer + share - 1) / share);
         // The receiver may know the earlier ones, and still has to learn when the last one was.
         for (std::int64_t index = servers - std::min(needed, servers); index < servers; ++index) {
             const ServerId &server = record.servers[static_cast<std::size_t>(index)];
@@ -202,6 +235,8 @@
     if (now < memory.lastCleanUp + cleanUpPeriod)
         return;
     memory.lastCleanUp = now;
+    std::erase_if(memory.survivals,
+                  [now](const auto &entry) { return now >= entry.second + survivalMemory; });
     std::erase_if(memory.records, [&](const auto &entry) {
         const CrashRecord &record = entry.second;
         return !isSuspected(record, now, rules) && now >= record.harmlessUntil
--- a/modules/gateway/src/CrashGuard.cpp
+++ b/modules/gateway/src/CrashGuard.cpp
@@ -169,14 +169,24 @@
 void CrashGuard::onServerChecked(const std::vector<std::shared_ptr<CrashTrial>> &trials,
                                  const ServerId &server, bool hasEnded)
 {
+    const TimePoint now = m_timer.now();
+    const auto isHarmless = [&](const CrashTrial &trial) {
+        return trial.hasSurvivor || isKnownHarmless(m_memory, trial.fingerprint, now);
+    };
+    // Where some of the requests have been survived, the others are held responsible.
+    const bool isAnyUnknown =
+        std::ranges::any_of(trials, [&](const auto &trial) { return !isHarmless(*trial); });
     std::set<Fingerprint> suspects;
-    for (const auto &trial : trials)
-        suspects.insert(trial->fingerprint);
+    for (const auto &trial : trials) {
+        if (!isAnyUnknown || !isHarmless(*trial))
+            suspects.insert(trial->fingerprint);
+    }
     const auto count = static_cast<std::int64_t>(suspects.size());
     for (const auto &trial : trials) {
+        const bool isSuspect = suspects.contains(trial->fingerprint);
         trial->forRequestAndResource([&](CrashTrial &affected) {
             --affected.unverified;
-            if (hasEnded && !affected.hasSurvivor && !affected.loss)
+            if (hasEnded && isSuspect && !affected.hasSurvivor && !affected.loss)
                 affected.loss = {affected.fingerprint, server, (wholeServer + count - 1) / count};
             attributeIfDone(affected);
             notify(affected);
--- a/modules/gateway/tests/CrashGuardTest.cpp
+++ b/modules/gateway/tests/CrashGuardTest.cpp
@@ -230,4 +230,32 @@
     EXPECT_EQ(instances.front()->fleet.crashGuard().suspectedRequests(), 0);
 }
 
+// Guards against blaming a query that servers have survived for the end of one that it shared with
+// a query of which nothing is known.
+TEST(CrashGuardBlame, SurvivedRequestSharesNoBlameWithAnUnknownOne)
+{
+    VirtualScheduler scheduler;
+    VirtualTimer timer(scheduler);
+    TestLog log;
+    const CrashRules rules{.canary = false};
+    CrashGuard guard(timer, log, rules);
+    CallerRequest survived;
+    survived.target = "/find";
+    CallerRequest unknown;
+    unknown.target = "/crash";
+    CrashGuard::onSubmitted(*guard.trialOf(survived));
+    guard.onReplied(*guard.trialOf(survived), ServerId("a"), 200);
+    const auto trials = std::vector{guard.trialOf(survived), guard.trialOf(unknown)};
+    for (const auto &trial : trials) {
+        CrashGuard::onSubmitted(*trial);
+        guard.onConnectionClosed(*trial);
+    }
+    guard.onServerChecked(trials, ServerId("b"), true);
+    EXPECT_EQ(guard.decide(*trials.front()), SendDecision::Send);
+    EXPECT_EQ(guard.decide(*trials.back()), SendDecision::SendAlone);
+    const auto reports = guard.reports();
+    ASSERT_EQ(reports.size(), 1U);
+    EXPECT_EQ(reports.front().loss.share, wholeServer);
+}
+
 } // namespace
