An address that accepts connections is no proof that its server lives

Cause: a server that closed a connection under a request counted as alive once a new connection to its address was opened. That this is the cause on the users' machines is suspected, not shown.

Change: the server is asked at its health path. Its own reply shows that it lives; a refused connection, another server's id or a second without a reply that it has ended. Retries of a suspected request, or under which several servers closed connections, wait for the verdict.

--- a/modules/adapters/include/oleander/adapters/gateway/HeaderNames.h
+++ b/modules/adapters/include/oleander/adapters/gateway/HeaderNames.h
@@ -25,6 +25,8 @@
     std::string rateLimit;
     /// Milliseconds for which a server is still cold.
     std::string warmUpLeft;
+    /// The server that replies, at its health path.
+    std::string serverId;
 };
 
 } // namespace oleander
--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -367,6 +367,7 @@
         reply.rateLimit = parseDecimal(viewOf(message[m_names.rateLimit]));
         reply.load = parseLoad(viewOf(message[m_names.reportedLoad]));
         reply.warmUpLeft = parseMilliseconds(viewOf(message[m_names.warmUpLeft]));
+        reply.serverId = ServerId(std::string(message[m_names.serverId]));
         return reply;
     }
 
--- a/modules/adapters/tests/gateway/ServerLinksTest.cpp
+++ b/modules/adapters/tests/gateway/ServerLinksTest.cpp
@@ -34,6 +34,7 @@
     names.notExecuted = "Not-Run";
     names.reportedLoad = "Load";
     names.warmUpLeft = "Cold";
+    names.serverId = "Server-Id";
     return names;
 }
 
@@ -265,22 +266,43 @@
     }
 }
 
-// Guards against a health reply that is dropped because it names no request.
-TEST(ServerLinks, HealthProbeReadsTheColdTime)
+gateway::HealthProbeOutcome probeHealth(const std::string &reply)
 {
     asio::io_context context;
     AsioTimerService timer(context);
-    ClosingServer server(context, "HTTP/1.1 200 OK\r\nCold: 2500\r\nContent-Length: 2\r\n\r\nok");
+    ClosingServer server(context, reply);
     AsioServerLinks links(context, headerNames());
     gateway::ServerRegistration registration;
     registration.id = ServerId("i-1");
     registration.address = server.address();
-    std::optional<gateway::ServerReply> reply;
+    std::optional<gateway::HealthProbeOutcome> outcome;
     gateway::HealthProbe probe(links, timer, registration, "/health",
-                               [&reply](auto given) { reply = std::move(given); });
-    while (!reply)
-        ASSERT_GT(context.run_one_for(std::chrono::seconds(5)), 0U);
-    EXPECT_EQ(reply->warmUpLeft, milliseconds(2500));
+                               [&outcome](auto given) { outcome = std::move(given); });
+    while (!outcome && context.run_one_for(std::chrono::seconds(5)) > 0) {
+    }
+    return outcome.value_or(gateway::HealthProbeOutcome{});
+}
+
+// Guards against a health reply that is dropped because it names no request.
+TEST(ServerLinks, HealthProbeReadsTheColdTime)
+{
+    const auto outcome =
+        probeHealth("HTTP/1.1 200 OK\r\nCold: 2500\r\nContent-Length: 2\r\n\r\nok");
+    ASSERT_TRUE(outcome.reply);
+    EXPECT_EQ(outcome.reply->warmUpLeft, milliseconds(2500));
+    EXPECT_FALSE(outcome.reply->isMisdirected);
+}
+
+// Guards against taking the health of another server, which has the address now, for that of the
+// one that was asked.
+TEST(ServerLinks, HealthReplyOfAnotherServerIsMisdirected)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nServer-Id: ";
+    const auto own = probeHealth(head + "i-1\r\n\r\n");
+    const auto foreign = probeHealth(head + "i-2\r\n\r\n");
+    ASSERT_TRUE(own.reply && foreign.reply);
+    EXPECT_FALSE(own.reply->isMisdirected);
+    EXPECT_TRUE(foreign.reply->isMisdirected);
 }
 
 // Guards against taking a reply whose server ended in the middle of it for a whole one, with an
--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -92,8 +92,10 @@
     /// Called when something happened after which servers of services with a limit are cold.
     /// Requests that were not sent move to other servers.
     void assumeCold(const char *cause);
+    /// Sets the path at which the server states its health.
+    void setHealthPath(const std::string &path) { m_healthPath = path; }
     /// Asks the server at its health path for the rest of its cold time.
-    void probeHealth(const std::string &path);
+    void probeHealth();
     /// Called when the evacuation of the server's data centre begins or ends. Requests that were
     /// not sent move to other servers.
     void setEvacuated(bool isEvacuated);
@@ -133,8 +135,12 @@
     void onOpened(const Connection &connection);
     void onReply(Connection &connection, ServerReply reply, bool isReusable);
     void onClosed(Connection &connection, LinkEnd end);
-    /// Checks on a new connection whether the server, which closed one under a request, has ended.
+    /// Checks whether the server, which closed a connection under a request, has ended.
     void checkEnded(const AttemptPtr &attempt);
+    void probeEnded();
+    void onEndProbed(const HealthProbeOutcome &outcome);
+    /// A connection is open that was opened before the server closed the last one under a request.
+    [[nodiscard]] bool hasOlderConnection() const;
     void onChecked(bool hasEnded, const char *evidence);
     /// Returns requests that have not been sent to their calls, which choose another server. Called
     /// whenever the server stops being usable.
@@ -166,6 +172,7 @@
     /// Until this time the server wants no requests of this instance.
     TimePoint m_turnedAwayUntil{};
     ColdState m_cold;
+    std::string m_healthPath;
     /// A connection was lost; the server may be another process when the next one opens.
     bool m_isConnectionLost = false;
     bool m_isColdLogged = false;
@@ -185,6 +192,12 @@
     /// whether it has ended, and the time of the last of these closings.
     std::vector<std::shared_ptr<CrashTrial>> m_unverified;
     TimePoint m_lastClosedAt{};
+    /// The check of whether it has ended: the present probe or the time of the next one, and until
+    /// when it is probed.
+    bool m_isCheckingEnd = false;
+    std::unique_ptr<HealthProbe> m_endProbe;
+    Subscription m_nextEndProbe;
+    TimePoint m_endProbesUntil{};
 };
 
 } // namespace oleander::gateway
--- a/modules/gateway/include/oleander/gateway/HealthProbe.h
+++ b/modules/gateway/include/oleander/gateway/HealthProbe.h
@@ -10,13 +10,23 @@
 
 namespace oleander::gateway {
 
+/// How a health probe ended.
+struct HealthProbeOutcome
+{
+    /// The complete reply; nothing if there was none. `isMisdirected` is set if it names another
+    /// server.
+    std::optional<ServerReply> reply;
+    /// No connection came about.
+    bool isNotOpened = false;
+};
+
 /// One question to a server's health path, on a connection of its own, since a reply there cannot
 /// be mistaken for that of a request.
 class HealthProbe final : private ServerLinkListener
 {
 public:
-    /// Called once, with the reply or nothing. May destroy the probe.
-    using Callback = std::function<void(std::optional<ServerReply>)>;
+    /// Called once. May destroy the probe.
+    using Callback = std::function<void(HealthProbeOutcome)>;
 
     HealthProbe(ServerLinkFactory &links, TimerService &timer,
                 const ServerRegistration &registration, const std::string &path, Callback done);
@@ -27,7 +37,7 @@
     void onOpened() override;
     void onReply(ServerReply reply, bool isReusable) override;
     void onClosed(LinkEnd end) override;
-    void finish(std::optional<ServerReply> reply);
+    void finish(HealthProbeOutcome outcome);
 
     ServerId m_server;
     std::shared_ptr<const CallerRequest> m_request;
--- a/modules/gateway/include/oleander/gateway/HttpMessage.h
+++ b/modules/gateway/include/oleander/gateway/HttpMessage.h
@@ -83,6 +83,8 @@
     std::optional<double> rateLimit;
     /// Remaining time in which the server is cold, if it states this.
     std::optional<Duration> warmUpLeft;
+    /// The server that replied, if it states this. Replies at the health path do.
+    ServerId serverId{};
 };
 
 /// Returns the path of a request target without the query.
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -98,6 +98,11 @@
 /// Age of what a registration says when it arrives here: a heartbeat, a watch of an instance that
 /// reads for others, and its way from there.
 constexpr Duration registrationAge = seconds(3);
+/// For how long a server that closed a connection under a request is probed. Longer than the usual
+/// pauses of servers.
+constexpr Duration endCheckTime = seconds(1);
+/// Time between two probes of one check.
+constexpr Duration endProbePause = milliseconds(100);
 
 } // namespace
 
@@ -297,17 +302,18 @@
     return m_cold.isAssumed(now) && now >= m_nextProbe && !m_probe && isUsable() && !isEjected();
 }
 
-void BackendServer::probeHealth(const std::string &path)
+void BackendServer::probeHealth()
 {
     const TimePoint askedAt = m_context.timer.now();
     m_nextProbe = askedAt + m_cold.share().probePeriod;
-    m_probe =
-        std::make_unique<HealthProbe>(m_context.links, m_context.timer, m_registration, path,
-                                      [this, askedAt](const std::optional<ServerReply> &reply) {
-                                          const auto ended = std::move(m_probe);
-                                          if (reply && reply->warmUpLeft && !reply->isMisdirected)
-                                              noteWarmUp(*reply->warmUpLeft, askedAt);
-                                      });
+    m_probe = std::make_unique<HealthProbe>(
+        m_context.links, m_context.timer, m_registration, m_healthPath,
+        [this, askedAt](const HealthProbeOutcome &outcome) {
+            const auto ended = std::move(m_probe);
+            const auto &reply = outcome.reply;
+            if (reply && reply->warmUpLeft && !reply->isMisdirected)
+                noteWarmUp(*reply->warmUpLeft, askedAt);
+        });
 }
 
 void BackendServer::retire()
@@ -493,7 +499,8 @@
     noteConnected(m_score);
     if (std::exchange(m_isConnectionLost, false))
         assumeCold("new connection after a loss");
-    if (connection.openedAt() >= m_lastClosedAt)
+    // A dead process's address may still accept connections, but nothing else can be asked.
+    if (m_healthPath.empty() && connection.openedAt() >= m_lastClosedAt)
         onChecked(false, "connection opened");
     sendWaiting();
 }
@@ -501,6 +508,8 @@
 void BackendServer::onReply(Connection &connection, ServerReply reply, bool isReusable)
 {
     const AttemptPtr attempt = connection.takeCurrent();
+    if (connection.openedAt() >= m_lastClosedAt)
+        onChecked(reply.isMisdirected, "reply on a new connection");
     if (!isReusable || m_isRetired)
         detach(connection);
     if (attempt) {
@@ -536,7 +545,8 @@
         finish(attempt, {AttemptOutcome::Lost, {}});
     }
     if (end == LinkEnd::NotOpened) {
-        onChecked(true, "connection not opened");
+        if (!hasOlderConnection())
+            onChecked(true, "connection not opened");
         const Duration ejectionTime = noteConnectFailure(m_score, m_context.timer.now());
         m_context.log.record(EventId::ServerEjected, {},
                              {{"server", m_registration.id.text()},
@@ -562,6 +572,13 @@
         onChecked(false, "not registered");
         return;
     }
+    if (!m_healthPath.empty()) {
+        if (std::exchange(m_isCheckingEnd, true))
+            return;
+        m_endProbesUntil = now + endCheckTime;
+        probeEnded();
+        return;
+    }
     const bool isChecking = std::ranges::any_of(m_connections, [now](const auto &connection) {
         return !connection->isOpen() && connection->openedAt() == now;
     });
@@ -569,10 +586,51 @@
         openConnection();
 }
 
+void BackendServer::probeEnded()
+{
+    m_endProbe =
+        std::make_unique<HealthProbe>(m_context.links, m_context.timer, m_registration,
+                                      m_healthPath, [this](const HealthProbeOutcome &outcome) {
+                                          const auto ended = std::move(m_endProbe);
+                                          onEndProbed(outcome);
+                                      });
+}
+
+void BackendServer::onEndProbed(const HealthProbeOutcome &outcome)
+{
+    if (outcome.reply) {
+        onChecked(outcome.reply->isMisdirected, "health reply");
+        return;
+    }
+    const bool isAnyOpen = hasOlderConnection();
+    if (outcome.isNotOpened && !isAnyOpen) {
+        onChecked(true, "connection not opened");
+        return;
+    }
+    // Servers with too many connections reset new ones, and those of a process that has ended need
+    // not all be closed yet.
+    if (m_context.timer.now() < m_endProbesUntil) {
+        m_nextEndProbe =
+            m_context.timer.callAfter(endProbePause, [this](const TimerTick &) { probeEnded(); });
+        return;
+    }
+    onChecked(!isAnyOpen, isAnyOpen ? "older connection open" : "no reply");
+}
+
+bool BackendServer::hasOlderConnection() const
+{
+    return std::ranges::any_of(m_connections, [this](const auto &connection) {
+        return connection->isOpen() && connection->openedAt() < m_lastClosedAt;
+    });
+}
+
 void BackendServer::onChecked(bool hasEnded, const char *evidence)
 {
     if (m_unverified.empty())
         return;
+    m_isCheckingEnd = false;
+    m_endProbe.reset();
+    m_nextEndProbe.reset();
     m_context.log.record(EventId::ServerEndChecked, {},
                          {{"server", m_registration.id.text()},
                           {"hasEnded", hasEnded},
--- a/modules/gateway/src/CrashGuard.cpp
+++ b/modules/gateway/src/CrashGuard.cpp
@@ -11,8 +11,11 @@
 
 namespace {
 
-/// A server that has not accepted or refused a connection after this time holds up no retries.
+/// A server of which it is not known after this time whether it has ended holds up no retries.
 constexpr Duration checkTime = milliseconds(50);
+/// Longer than the check of a server takes. Where the request is suspected, or several servers have
+/// closed connections under it, retries wait for the verdict.
+constexpr Duration verdictTime = milliseconds(2500);
 /// Time in which an execution that a server survives clears most requests.
 constexpr Duration announcementDelay = milliseconds(100);
 /// Suspected requests that are told to other instances, which bounds the message.
@@ -92,7 +95,12 @@
 {
     if (trial.hasSurvivor)
         return SendDecision::Send;
-    const bool isChecking = trial.unverified > 0 && m_timer.now() < trial.lastClosedAt + checkTime;
+    const TimePoint now = m_timer.now();
+    const bool isSuspicious =
+        known != DispatchDecision::SendToAll
+        || (trial.unverified > 1 && !isKnownHarmless(m_memory, trial.fingerprint, now));
+    const Duration hold = isSuspicious ? verdictTime : checkTime;
+    const bool isChecking = trial.unverified > 0 && now < trial.lastClosedAt + hold;
     switch (known) {
     case DispatchDecision::Refuse:
         return SendDecision::Refuse;
--- a/modules/gateway/src/HealthProbe.cpp
+++ b/modules/gateway/src/HealthProbe.cpp
@@ -23,7 +23,7 @@
     request->host = registration.address.number;
     m_request = std::move(request);
     m_link = links.open(registration.address, *this);
-    m_timeout = timer.callAfter(probeTimeout, [this](const TimerTick &) { finish(std::nullopt); });
+    m_timeout = timer.callAfter(probeTimeout, [this](const TimerTick &) { finish({}); });
 }
 
 void HealthProbe::onOpened()
@@ -33,18 +33,20 @@
 
 void HealthProbe::onReply(ServerReply reply, bool)
 {
-    finish(std::move(reply));
+    if (!reply.serverId.isEmpty() && reply.serverId != m_server)
+        reply.isMisdirected = true;
+    finish({std::move(reply), false});
 }
 
-void HealthProbe::onClosed(LinkEnd)
+void HealthProbe::onClosed(LinkEnd end)
 {
-    finish(std::nullopt);
+    finish({std::nullopt, end == LinkEnd::NotOpened});
 }
 
-void HealthProbe::finish(std::optional<ServerReply> reply)
+void HealthProbe::finish(HealthProbeOutcome outcome)
 {
     if (const auto done = std::exchange(m_done, nullptr))
-        done(std::move(reply));
+        done(std::move(outcome));
 }
 
 } // namespace oleander::gateway
--- a/modules/gateway/src/ServerFleet.cpp
+++ b/modules/gateway/src/ServerFleet.cpp
@@ -268,6 +268,7 @@
         const bool keepsIdle = keepsAny && (!isScarce || server == order.front().second);
         server->setConnectionLimits(connectionLimit(pool),
                                     keepsIdle ? m_policy.idleLimit : m_policy.onDemandIdleLimit);
+        server->setHealthPath(pool.healthPath);
         server->setRateSharing(sharers(pool).value_or(assumedSharers), unitInterval(rank << 1));
         assignColdStart(pool, *server, unitInterval(rank << 1));
         if (pool.preferred.size() == preferred)
@@ -470,20 +471,19 @@
 
 void ServerFleet::probeColdServers()
 {
-    std::vector<std::pair<BackendServer *, const std::string *>> due;
+    std::vector<BackendServer *> due;
     for (const auto &[id, pool] : m_pools) {
         if (!pool->coldStart.hasLimit() || pool->healthPath.empty())
             continue;
         for (BackendServer *server : pool->servers) {
             if (server->isHealthProbeDue())
-                due.emplace_back(server, &pool->healthPath);
+                due.push_back(server);
         }
     }
     for (std::size_t count = 0; count < probesPerPeriod && !due.empty(); ++count) {
         std::swap(due[m_random.below(due.size())], due.back());
-        const auto [server, path] = due.back();
+        due.back()->probeHealth();
         due.pop_back();
-        server->probeHealth(*path);
     }
 }
 
--- a/modules/gateway/tests/CrashGuardTest.cpp
+++ b/modules/gateway/tests/CrashGuardTest.cpp
@@ -230,6 +230,67 @@
     EXPECT_EQ(instances.front()->fleet.crashGuard().suspectedRequests(), 0);
 }
 
+/// How long the address of a crashed server accepts connections that nothing answers.
+struct CrashedAddressTest : CrashGuardTest, ::testing::WithParamInterface<int>
+{
+    CrashedAddressTest() { servers.crashListenTime = milliseconds(GetParam()); }
+};
+
+// Guards against taking a server for alive because its address still accepts connections, and
+// sending the request that has crashed it on each time it comes (BUDGET).
+TEST_P(CrashedAddressTest, GatheredRequestThatCrashesServersIsRefused)
+{
+    int afterThird = 0;
+    for (int number = 0; number < 12; ++number) {
+        const int before = servers.crashes();
+        const auto repeated = send(number % 3, "/gather/crash");
+        scheduler.runFor(seconds(5));
+        ASSERT_TRUE(repeated->answer);
+        afterThird += number > 0 && servers.crashes() > before ? 1 : 0;
+    }
+    EXPECT_LE(afterThird, 3) << "sendings that reached servers";
+    // Each shard may lose the server of the first sending and that of its retry.
+    EXPECT_LE(servers.crashes(), 2 * shardCount + permittedCanaries);
+}
+
+// The same for a request to one server.
+TEST_P(CrashedAddressTest, RequestThatCrashesServersIsRefused)
+{
+    for (int number = 0; number < 12; ++number) {
+        send(number % 3, "/one/crash");
+        scheduler.runFor(seconds(5));
+    }
+    EXPECT_LE(servers.crashes(), 3);
+}
+
+// Guards against refusing a query that servers have survived many times, because it was at servers
+// that another one crashed.
+TEST_P(CrashedAddressTest, HarmlessRequestsBesideACrashingOneAreServed)
+{
+    std::vector<std::shared_ptr<ReceivedAnswer>> harmless;
+    const auto sendHarmless = [&](int rounds) {
+        for (int round = 0; round < rounds; ++round) {
+            for (int instance = 0; instance < 3; ++instance) {
+                harmless.push_back(send(instance, "/gather/find"));
+                scheduler.runFor(milliseconds(7));
+            }
+        }
+    };
+    sendHarmless(20);
+    for (int number = 0; number < 4; ++number) {
+        send(number % 3, "/gather/crash");
+        sendHarmless(100);
+    }
+    scheduler.runFor(seconds(4));
+    const auto served = std::ranges::count_if(harmless, [](const auto &received) {
+        return received->answer && received->answer->status == 200;
+    });
+    constexpr double requiredShare = 0.9;
+    EXPECT_GE(static_cast<double>(served), requiredShare * static_cast<double>(harmless.size()));
+}
+
+INSTANTIATE_TEST_SUITE_P(ListenTimes, CrashedAddressTest, ::testing::Values(10, 100, 3000));
+
 // Guards against blaming a query that servers have survived for the end of one that it shared with
 // a query of which nothing is known.
 TEST(CrashGuardBlame, SurvivedRequestSharesNoBlameWithAnUnknownOne)
--- a/modules/gateway/tests/CrashingRequestFleetTest.cpp
+++ b/modules/gateway/tests/CrashingRequestFleetTest.cpp
@@ -273,4 +273,14 @@
     EXPECT_LE(lateRetries, permittedRetries);
 }
 
+// Guards against taking a server for alive because its address still accepts connections (BUDGET).
+TEST_F(CrashingRequestFleetTest, RequestIsHeldBackWhereAddressesOfEndedServersAcceptConnections)
+{
+    servers.crashListenTime = seconds(3);
+    startLoad();
+    repeatCrashing([] { return "/one/crash"; });
+    EXPECT_LE(lateRetries, permittedRetries);
+    EXPECT_GE(servedShare(), requiredServedShare);
+}
+
 } // namespace
--- a/modules/gateway/tests/support/SimulatedServers.cpp
+++ b/modules/gateway/tests/support/SimulatedServers.cpp
@@ -5,19 +5,20 @@
 
 namespace oleander::gateway::testing {
 
-/// One connection. Scheduled events refer to the State and do nothing once its listener is
+/// The state of one connection. Scheduled events refer to it and do nothing once its listener is
 /// reset.
+struct SimulatedServers::LinkState
+{
+    ServerLinkListener *listener = nullptr;
+    bool isOpen = false;
+    std::shared_ptr<Work> work;
+    std::set<std::string> carriedIds;
+};
+
+/// One connection.
 class SimulatedServers::Link final : public ServerLink
 {
 public:
-    struct State
-    {
-        ServerLinkListener *listener = nullptr;
-        bool isOpen = false;
-        std::shared_ptr<Work> work;
-        std::set<std::string> carriedIds;
-    };
-
     Link(SimulatedServers &owner, Server &server, ServerLinkListener &listener);
     Link(const Link &) = delete;
     Link &operator=(const Link &) = delete;
@@ -25,18 +26,18 @@
 
     void send(const ServerRequest &request) override;
     [[nodiscard]] std::optional<Duration> keepAlive() const override { return std::nullopt; }
-    [[nodiscard]] const std::shared_ptr<State> &state() const { return m_state; }
+    [[nodiscard]] const std::shared_ptr<LinkState> &state() const { return m_state; }
 
 private:
     SimulatedServers &m_owner;
     Server &m_server;
-    std::shared_ptr<State> m_state;
+    std::shared_ptr<LinkState> m_state;
 };
 
 /// One request on its way to or at a server.
 struct SimulatedServers::Work
 {
-    std::shared_ptr<Link::State> link;
+    std::shared_ptr<LinkState> link;
     std::shared_ptr<const CallerRequest> request;
     TimePoint deadline{};
     bool isStarted = false;
@@ -47,15 +48,17 @@
     Address address;
     ServerBehaviour behaviour;
     ServerCounters counters;
-    std::vector<std::weak_ptr<Link::State>> links;
+    std::vector<std::weak_ptr<LinkState>> links;
     std::vector<std::shared_ptr<Work>> running;
     std::deque<std::shared_ptr<Work>> waiting;
+    /// Until then the address accepts connections, although the server is down.
+    TimePoint listensUntil{};
 };
 
 SimulatedServers::Link::Link(SimulatedServers &owner, Server &server, ServerLinkListener &listener)
     : m_owner(owner)
     , m_server(server)
-    , m_state(std::make_shared<State>())
+    , m_state(std::make_shared<LinkState>())
 {
     m_state->listener = &listener;
     ++m_owner.m_openConnections;
@@ -118,20 +121,25 @@
 {
     Server &server = serverAt(address);
     server.behaviour.isDown = true;
+    server.listensUntil = m_scheduler.now() + crashListenTime;
     server.running.clear();
     server.waiting.clear();
     for (const auto &weakState : std::exchange(server.links, {})) {
-        m_scheduler.schedule(m_scheduler.now() + oneWayDelay, [weakState] {
-            const auto state = weakState.lock();
-            if (!state || !state->listener)
-                return;
-            state->work.reset();
-            std::exchange(state->listener, nullptr)
-                ->onClosed(state->isOpen ? LinkEnd::ClosedByServer : LinkEnd::NotOpened);
-        });
+        m_scheduler.schedule(m_scheduler.now() + oneWayDelay,
+                             [weakState] { closeByServer(weakState); });
     }
 }
 
+void SimulatedServers::closeByServer(const std::weak_ptr<LinkState> &weakState)
+{
+    const auto state = weakState.lock();
+    if (!state || !state->listener)
+        return;
+    state->work.reset();
+    std::exchange(state->listener, nullptr)
+        ->onClosed(state->isOpen ? LinkEnd::ClosedByServer : LinkEnd::NotOpened);
+}
+
 std::unique_ptr<ServerLink> SimulatedServers::open(const Address &address,
                                                    ServerLinkListener &listener)
 {
@@ -141,18 +149,23 @@
     server.links.push_back(link->state());
     if (server.behaviour.isUnresponsive)
         return link;
-    const std::weak_ptr<Link::State> weakState = link->state();
-    m_scheduler.schedule(m_scheduler.now() + 2 * oneWayDelay + handshakeTime, [&server, weakState] {
+    const std::weak_ptr<LinkState> weakState = link->state();
+    m_scheduler.schedule(m_scheduler.now() + 2 * oneWayDelay + handshakeTime, [this, &server,
+                                                                               weakState] {
         const auto state = weakState.lock();
         if (!state || !state->listener)
             return;
         const bool isBeyondCap = server.counters.connections > server.behaviour.connectionCap;
         server.counters.connectionsRefused += isBeyondCap ? 1 : 0;
-        if (server.behaviour.isDown || isBeyondCap) {
+        const bool isListening =
+            !server.behaviour.isDown || m_scheduler.now() < server.listensUntil;
+        if (!isListening || isBeyondCap) {
             std::exchange(state->listener, nullptr)->onClosed(LinkEnd::NotOpened);
             return;
         }
         state->isOpen = true;
+        if (server.behaviour.isDown)
+            m_scheduler.schedule(server.listensUntil, [weakState] { closeByServer(weakState); });
         state->listener->onOpened();
     });
     return link;
@@ -173,6 +186,7 @@
     ++server.counters.healthRequests;
     ServerReply health;
     health.status = 200;
+    health.serverId = server.behaviour.isReplaced ? ServerId("another") : ServerId();
     health.warmUpLeft = std::max(Duration{}, server.behaviour.coldUntil - m_scheduler.now());
     reply(work, std::move(health));
 }
--- a/modules/gateway/tests/support/SimulatedServers.h
+++ b/modules/gateway/tests/support/SimulatedServers.h
@@ -100,6 +100,8 @@
     std::function<bool(const CallerRequest &)> isCrashing;
     Duration crashAfter{};
     Duration crashDownTime = seconds(3);
+    /// For how long the address of a crashed server accepts connections that nothing answers.
+    Duration crashListenTime{};
     /// Called when a server has crashed because of isCrashing.
     std::function<void(const Address &)> onCrashed;
 
@@ -120,10 +122,12 @@
 
 private:
     class Link;
+    struct LinkState;
     struct Server;
     struct Work;
 
     Server &serverAt(const Address &address);
+    static void closeByServer(const std::weak_ptr<LinkState> &weakState);
     void replyHealth(Server &server, const std::shared_ptr<Work> &work);
     void receive(Server &server, const std::shared_ptr<Work> &work);
     void startQueuedWork(Server &server);
--- a/modules/gateway/tests/support/TestGateway.h
+++ b/modules/gateway/tests/support/TestGateway.h
@@ -165,7 +165,7 @@
     gather.minimumShare = 0.89;
     for (int service = 0; service < shards; ++service) {
         gather.shards.push_back(serviceNamed(service));
-        configuration.services.push_back({serviceNamed(service), 58});
+        configuration.services.push_back({serviceNamed(service), 58, {}, 0, healthPath});
     }
     Route idempotent = gather;
     idempotent.id = RouteId("one");
@@ -178,7 +178,7 @@
     nonIdempotent.id = RouteId("once");
     nonIdempotent.prefix = "/once/";
     nonIdempotent.idempotency = Idempotency::NonIdempotent;
-    configuration.services.push_back({serviceNamed(shards), 58});
+    configuration.services.push_back({serviceNamed(shards), 58, {}, 0, healthPath});
     configuration.routes = {gather, idempotent, nonIdempotent};
     return configuration;
 }
