A message with a status of no class is no reply

Callers saw: 600 and 999 of a server in trouble as their answer (MIXED); behind 000, 001 and 099 the gateway waited for another answer, and the caller got 504 at its deadline instead of an answer at once.

Cause: no check of the range. Below 200 a message counted as interim and was skipped, from 200 on as final.

Change: a message whose status lies outside 100 to 599 closes the connection as soon as its head is read. Idempotent requests go to another server, others end with 502. modules/node, the reader of the store and the hop between instances were looked at; they accept only what they know.

Test: MessageWithAStatusOfNoClassIsNoReply fails with the check switched off in place.

--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -33,7 +33,6 @@
 constexpr std::size_t readSize = std::size_t{8} * 1024;
 /// Sent bytes that are not acknowledged for this long end the connection.
 constexpr int unacknowledgedLimitMs = 3000;
-constexpr int firstFinalStatus = 200;
 /// Interim replies and replies to earlier requests that are skipped before the one that is awaited.
 constexpr int maximumSkippedReplies = 16;
 
@@ -296,12 +295,15 @@
             }
             error_code error;
             m_in.consume(m_parser->put(m_in.data(), error));
-            if (error == http::error::need_more)
-                return true;
-            if (error) {
+            const bool isStatusUnknown =
+                m_parser->is_header_done()
+                && !gateway::isStatus(static_cast<int>(m_parser->get().result_int()));
+            if (isStatusUnknown || (error && error != http::error::need_more)) {
                 close(LinkEnd::Unusable);
                 return false;
             }
+            if (error)
+                return true;
             if (!m_parser->is_done())
                 return true;
             if (!onMessage())
@@ -316,7 +318,7 @@
         http::response<GrowingStringBody> message = m_parser->release();
         m_parser.reset();
         releaseHeld();
-        if (message.result_int() < firstFinalStatus)
+        if (static_cast<int>(message.result_int()) < gateway::firstFinalStatus)
             return skipReply();
         const auto echoed = message.find(m_names.requestId);
         const auto owner = gateway::ownerOfReply(
--- a/modules/adapters/tests/gateway/ServerLinksTest.cpp
+++ b/modules/adapters/tests/gateway/ServerLinksTest.cpp
@@ -207,11 +207,11 @@
         requesters, [](const auto &requester) { return requester->reply.has_value(); }));
 }
 
-/// Answers the first request on a connection with some bytes and closes the connection.
-class ClosingServer
+/// Answers the first request on a connection with some bytes and keeps the connection open.
+class OpenServer
 {
 public:
-    ClosingServer(asio::io_context &context, std::string bytes)
+    OpenServer(asio::io_context &context, std::string bytes)
         : m_acceptor(context, {asio::ip::make_address("127.0.0.1"), 0})
         , m_socket(context)
         , m_bytes(std::move(bytes))
@@ -221,22 +221,39 @@
                 m_socket.async_read_some(asio::buffer(m_in), [this](const error_code &, auto) {
                     error_code ignored;
                     asio::write(m_socket, asio::buffer(m_bytes), ignored);
-                    m_socket.close(ignored);
+                    onAnswered(m_socket);
                 });
         });
     }
+    virtual ~OpenServer() = default;
     [[nodiscard]] Address address() const
     {
         return {"127.0.0.1", m_acceptor.local_endpoint().port()};
     }
 
 private:
+    virtual void onAnswered(tcp::socket &) {}
+
     tcp::acceptor m_acceptor;
     tcp::socket m_socket;
     std::array<char, 4096> m_in{};
     std::string m_bytes;
 };
 
+/// Closes the connection after its answer.
+class ClosingServer final : public OpenServer
+{
+public:
+    using OpenServer::OpenServer;
+
+private:
+    void onAnswered(tcp::socket &socket) override
+    {
+        error_code ignored;
+        socket.close(ignored);
+    }
+};
+
 // Guards against dropping a load report because of a pace that is missing, as servers of the
 // previous release send it, or unreadable.
 TEST(ServerLinks, PaceIsOptionalInALoadReport)
@@ -266,6 +283,27 @@
     }
 }
 
+// Guards against passing on a message with a status of no class as a server's answer, and against
+// waiting for another one behind it until the caller's time is over (MIXED).
+TEST(ServerLinks, MessageWithAStatusOfNoClassIsNoReply)
+{
+    for (const char *status : {"000", "001", "099", "600", "999"}) {
+        for (const char *rest : {"Content-Length: 2\r\n\r\nok", "\r\nok", "Request-Id: r1\r\n\r\n",
+                                 "Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok"}) {
+            asio::io_context context;
+            OpenServer server(context, std::string("HTTP/1.1 ") + status + " Odd\r\n" + rest);
+            AsioServerLinks links(context, headerNames());
+            Requester requester(links, server.address());
+            const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+            while (!requester.isClosed && !requester.reply
+                   && std::chrono::steady_clock::now() < until)
+                context.run_one_for(std::chrono::milliseconds(50));
+            EXPECT_TRUE(requester.isClosed) << status << " " << rest;
+            EXPECT_FALSE(requester.reply) << status << " " << rest;
+        }
+    }
+}
+
 gateway::HealthProbeOutcome probeHealth(const std::string &reply)
 {
     asio::io_context context;
--- a/modules/gateway/include/oleander/gateway/HttpStatus.h
+++ b/modules/gateway/include/oleander/gateway/HttpStatus.h
@@ -3,6 +3,8 @@
 namespace oleander::gateway {
 
 // HTTP status codes that the gateway sends or checks (RFC 9110, section 15; RFC 6585 for 431).
+constexpr int firstStatus = 100;
+constexpr int firstFinalStatus = 200;
 constexpr int statusOk = 200;
 constexpr int firstClientErrorStatus = 400;
 constexpr int statusBadRequest = 400;
@@ -17,5 +19,12 @@
 /// The request was not executed and will not be.
 constexpr int statusUnavailable = 503;
 constexpr int statusTimeout = 504;
+constexpr int lastStatus = 599;
+
+/// Whether a status belongs to one of the protocol's classes. A message with any other is no reply.
+[[nodiscard]] constexpr bool isStatus(int status)
+{
+    return status >= firstStatus && status <= lastStatus;
+}
 
 } // namespace oleander::gateway
