A server that resets each new connection is not taken for ended

Change: only silence for a second or a refused connection shows an end; a probe whose connection is closed is repeated for a second and then proves nothing.

Test: RequestsAtServersThatResetNewConnectionsAreNotSuspected failed before.

--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -138,6 +138,8 @@
     /// Checks whether the server, which closed a connection under a request, has ended.
     void checkEnded(const AttemptPtr &attempt);
     void probeEnded();
+    /// Probes again, or takes the server for alive because of this evidence.
+    void probeEndedLater(const char *evidence);
     void onEndProbed(const HealthProbeOutcome &outcome);
     /// A connection is open that was opened before the server closed the last one under a request.
     [[nodiscard]] bool hasOlderConnection() const;
--- a/modules/gateway/include/oleander/gateway/HealthProbe.h
+++ b/modules/gateway/include/oleander/gateway/HealthProbe.h
@@ -10,14 +10,20 @@
 
 namespace oleander::gateway {
 
-/// How a health probe ended.
+enum class HealthProbeEnd {
+    Replied,
+    /// No connection came about.
+    NotOpened,
+    /// The connection was closed before a complete reply.
+    Closed,
+    TimedOut,
+};
+
 struct HealthProbeOutcome
 {
-    /// The complete reply; nothing if there was none. `isMisdirected` is set if it names another
-    /// server.
-    std::optional<ServerReply> reply;
-    /// No connection came about.
-    bool isNotOpened = false;
+    HealthProbeEnd end = HealthProbeEnd::TimedOut;
+    /// The complete reply, if there was one. `isMisdirected` is set if it names another server.
+    std::optional<ServerReply> reply{};
 };
 
 /// One question to a server's health path, on a connection of its own, since a reply there cannot
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -602,19 +602,36 @@
         onChecked(outcome.reply->isMisdirected, "health reply");
         return;
     }
-    const bool isAnyOpen = hasOlderConnection();
-    if (outcome.isNotOpened && !isAnyOpen) {
+    if (hasOlderConnection()) {
+        // The connections of a process that has ended need not all be closed yet.
+        probeEndedLater("older connection open");
+        return;
+    }
+    switch (outcome.end) {
+    case HealthProbeEnd::NotOpened:
         onChecked(true, "connection not opened");
         return;
+    case HealthProbeEnd::Closed:
+        // Servers with too many connections reset new ones, and so does a system that gives up the
+        // address of a process that has ended.
+        probeEndedLater("connections closed");
+        return;
+    case HealthProbeEnd::TimedOut:
+        onChecked(true, "no reply");
+        return;
+    case HealthProbeEnd::Replied:
+        return;
     }
-    // Servers with too many connections reset new ones, and those of a process that has ended need
-    // not all be closed yet.
-    if (m_context.timer.now() < m_endProbesUntil) {
-        m_nextEndProbe =
-            m_context.timer.callAfter(endProbePause, [this](const TimerTick &) { probeEnded(); });
+}
+
+void BackendServer::probeEndedLater(const char *evidence)
+{
+    if (m_context.timer.now() >= m_endProbesUntil) {
+        onChecked(false, evidence);
         return;
     }
-    onChecked(!isAnyOpen, isAnyOpen ? "older connection open" : "no reply");
+    m_nextEndProbe =
+        m_context.timer.callAfter(endProbePause, [this](const TimerTick &) { probeEnded(); });
 }
 
 bool BackendServer::hasOlderConnection() const
--- a/modules/gateway/src/HealthProbe.cpp
+++ b/modules/gateway/src/HealthProbe.cpp
@@ -23,7 +23,8 @@
     request->host = registration.address.number;
     m_request = std::move(request);
     m_link = links.open(registration.address, *this);
-    m_timeout = timer.callAfter(probeTimeout, [this](const TimerTick &) { finish({}); });
+    m_timeout = timer.callAfter(probeTimeout,
+                                [this](const TimerTick &) { finish({HealthProbeEnd::TimedOut}); });
 }
 
 void HealthProbe::onOpened()
@@ -35,12 +36,12 @@
 {
     if (!reply.serverId.isEmpty() && reply.serverId != m_server)
         reply.isMisdirected = true;
-    finish({std::move(reply), false});
+    finish({HealthProbeEnd::Replied, std::move(reply)});
 }
 
 void HealthProbe::onClosed(LinkEnd end)
 {
-    finish({std::nullopt, end == LinkEnd::NotOpened});
+    finish({end == LinkEnd::NotOpened ? HealthProbeEnd::NotOpened : HealthProbeEnd::Closed});
 }
 
 void HealthProbe::finish(HealthProbeOutcome outcome)
--- a/modules/gateway/tests/CrashGuardTest.cpp
+++ b/modules/gateway/tests/CrashGuardTest.cpp
@@ -291,6 +291,25 @@
 
 INSTANTIATE_TEST_SUITE_P(ListenTimes, CrashedAddressTest, ::testing::Values(10, 100, 3000));
 
+// Guards against suspecting requests after a power loss: servers still hold the connections from
+// before, and reset all new ones for a while.
+TEST_F(CrashGuardTest, RequestsAtServersThatResetNewConnectionsAreNotSuspected)
+{
+    servers.isCrashing = nullptr;
+    for (int server = 0; server < serversPerService; ++server) {
+        servers.crash(addressOf(shardCount, server));
+        servers.behaviour(addressOf(shardCount, server)).isDown = false;
+        servers.behaviour(addressOf(shardCount, server)).isResetting = true;
+    }
+    for (int number = 0; number < 10; ++number) {
+        send(number % 3, "/one/x" + std::to_string(number));
+        scheduler.runFor(milliseconds(300));
+    }
+    scheduler.runFor(seconds(5));
+    for (const auto &instance : instances)
+        EXPECT_EQ(instance->fleet.crashGuard().suspectedRequests(), 0);
+}
+
 // Guards against blaming a query that servers have survived for the end of one that it shared with
 // a query of which nothing is known.
 TEST(CrashGuardBlame, SurvivedRequestSharesNoBlameWithAnUnknownOne)
--- a/modules/gateway/tests/support/SimulatedServers.cpp
+++ b/modules/gateway/tests/support/SimulatedServers.cpp
@@ -196,6 +196,11 @@
     const ServerBehaviour &behaviour = server.behaviour;
     if (behaviour.isUnresponsive || behaviour.isDown || !work->link->listener)
         return;
+    if (behaviour.isResetting) {
+        m_scheduler.schedule(m_scheduler.now() + oneWayDelay,
+                             [link = std::weak_ptr(work->link)] { closeByServer(link); });
+        return;
+    }
     if (work->request->target == healthPath) {
         replyHealth(server, work);
         return;
--- a/modules/gateway/tests/support/SimulatedServers.h
+++ b/modules/gateway/tests/support/SimulatedServers.h
@@ -42,6 +42,8 @@
     TimePoint coldUntil{};
     /// Maximum number of open connections; further ones are refused.
     int connectionCap = 1'000'000;
+    /// Accepts connections, and closes each as soon as something comes.
+    bool isResetting = false;
     /// Refuses connections and drops all requests.
     bool isDown = false;
     /// Neither accepts connections nor sends replies.
