Bytes without end are bounded at every door, and ordinary replies don't pay for them

Callers saw, on other systems: a faulty server sent bytes that were no answer, without end; the machine that called it ran out of memory, and other clients' requests ended with it.

Cause, three places of one class, a limit for what was parsed and none for what was not, or one that the wrong one pays: unfinished replies share a limit, and whichever connection reached it was cut, an ordinary one if others held the room; the reader of the store and modules/node kept what they could not parse (chunk extensions, trailers) without limit; a body of absurd length passed Beast's limit.

Change: the connection that holds most is given up; unparsed bytes have a limit for each connection; the reader of the store reads heads before bodies.

Tests, all seen to fail before: UnfinishedRepliesThatHoldMuchMakeRoomForOthers (20 of 20 ordinary replies cut), AnswersWithoutEndAreCutAfterABoundedNumberOfBytes, RepliesWithoutEndAreCutAfterABounded NumberOfBytes.

--- a/modules/adapters/include/oleander/adapters/gateway/AsioServerLinks.h
+++ b/modules/adapters/include/oleander/adapters/gateway/AsioServerLinks.h
@@ -16,8 +16,8 @@
 ///
 /// A reply counts only when it is complete and carries the id of the request that it answers. An
 /// extra reply to an earlier request is skipped; bytes that are no reply end the connection. So do
-/// heads and bodies beyond a limit, more than a few skipped replies, and any bytes that would make
-/// unfinished replies of all connections hold more than a limit: a server in trouble may
+/// heads and bodies beyond a limit, more than a few skipped replies, and the connection that holds
+/// most when unfinished replies of all connections hold more than a limit: a server in trouble may
 /// send without end.
 class AsioServerLinks final : public gateway::ServerLinkFactory
 {
@@ -29,24 +29,19 @@
                                               gateway::ServerLinkListener &listener) override;
 
     /// Bytes of unfinished replies in memory, over all connections.
-    [[nodiscard]] std::size_t heldBytes() const { return m_held->bytes; }
+    [[nodiscard]] std::size_t heldBytes() const;
 
     /// The limit unless another is set.
     static constexpr std::size_t maximumHeldBytes = std::size_t{24} * 1024 * 1024;
-    void setMaximumHeldBytes(std::size_t bytes) { m_held->limit = bytes; }
+    void setMaximumHeldBytes(std::size_t bytes);
 
-    /// Unfinished replies of all connections.
-    struct HeldReplies
-    {
-        std::size_t bytes = 0;
-        std::size_t limit = maximumHeldBytes;
-    };
+    struct HeldReplies;
 
 private:
     boost::asio::io_context &m_context;
     HeaderNames m_names;
     /// Shared with connections, which may outlive the factory until their last callback.
-    std::shared_ptr<HeldReplies> m_held = std::make_shared<HeldReplies>();
+    std::shared_ptr<HeldReplies> m_held;
 };
 
 } // namespace oleander
--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -13,6 +13,7 @@
 #include <charconv>
 #include <cmath>
 #include <netinet/tcp.h>
+#include <unordered_set>
 #include <utility>
 
 namespace oleander {
@@ -121,6 +122,21 @@
     return {text.data(), text.size()};
 }
 
+class Connection;
+
+} // namespace
+
+/// Unfinished replies of all connections.
+struct AsioServerLinks::HeldReplies
+{
+    std::size_t bytes = 0;
+    std::size_t limit = maximumHeldBytes;
+    /// The connections that hold bytes.
+    std::unordered_set<Connection *> connections;
+};
+
+namespace {
+
 class Connection : public std::enable_shared_from_this<Connection>
 {
 public:
@@ -252,17 +268,39 @@
             read();
     }
 
-    /// Counts the bytes of an unfinished reply. False if there is no room for them.
+    /// Counts the bytes of an unfinished reply. If there is no room for them, the connection that
+    /// holds most is given up. False if that is this one.
     bool hold(std::size_t count)
     {
-        if (m_heldByAll->bytes + count > m_heldByAll->limit)
-            return false;
+        AsioServerLinks::HeldReplies &all = *m_heldByAll;
         m_held += count;
-        m_heldByAll->bytes += count;
+        all.bytes += count;
+        all.connections.insert(this);
+        while (all.bytes > all.limit) {
+            Connection *const largest = *std::ranges::max_element(
+                all.connections, {}, [](const Connection *other) { return other->m_held; });
+            if (largest == this)
+                return false;
+            largest->giveUp();
+        }
         return true;
     }
 
-    void releaseHeld() { m_heldByAll->bytes -= std::exchange(m_held, 0); }
+    void releaseHeld()
+    {
+        m_heldByAll->bytes -= std::exchange(m_held, 0);
+        m_heldByAll->connections.erase(this);
+    }
+
+    /// Ends the connection. The pending wait for its next bytes fails and tells the listener.
+    void giveUp()
+    {
+        releaseHeld();
+        m_parser.reset();
+        m_in = {};
+        error_code ignored;
+        m_socket.close(ignored);
+    }
 
     void onEnd(const error_code &error)
     {
@@ -302,9 +340,11 @@
                 close(LinkEnd::Unusable);
                 return false;
             }
-            if (error)
-                return true;
-            if (!m_parser->is_done())
+            if (error && m_in.size() > largestHeader) {
+                close(LinkEnd::Unusable);
+                return false;
+            }
+            if (error || !m_parser->is_done())
                 return true;
             if (!onMessage())
                 return false;
@@ -451,7 +491,18 @@
 AsioServerLinks::AsioServerLinks(asio::io_context &context, HeaderNames names)
     : m_context(context)
     , m_names(std::move(names))
+    , m_held(std::make_shared<HeldReplies>())
+{
+}
+
+std::size_t AsioServerLinks::heldBytes() const
+{
+    return m_held->bytes;
+}
+
+void AsioServerLinks::setMaximumHeldBytes(std::size_t bytes)
 {
+    m_held->limit = bytes;
 }
 
 std::unique_ptr<gateway::ServerLink> AsioServerLinks::open(const Address &address,
--- a/modules/adapters/src/gateway/HttpGetter.cpp
+++ b/modules/adapters/src/gateway/HttpGetter.cpp
@@ -20,6 +20,14 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
+namespace {
+
+/// Bytes that were read and are no whole piece of an answer yet, such as a line. Bodies do not
+/// count.
+constexpr std::size_t largestUnparsed = std::size_t{128} * 1024;
+
+} // namespace
+
 class HttpGetter::Impl : public std::enable_shared_from_this<HttpGetter::Impl>
 {
 public:
@@ -103,6 +111,23 @@
         const auto number = m_connection;
         m_parser.emplace();
         m_parser->body_limit(m_largestBody);
+        // The header is read separately because Beast 1.74 does not enforce the body limit if the
+        // first body bytes arrive together with the header.
+        http::async_read_header(
+            m_socket, m_in, *m_parser,
+            [self = shared_from_this(), number](const error_code &error, std::size_t) {
+                if (number != self->m_connection)
+                    return;
+                if (error)
+                    self->onRead(error);
+                else
+                    self->readBody();
+            });
+    }
+
+    void readBody()
+    {
+        const auto number = m_connection;
         http::async_read(m_socket, m_in, *m_parser,
                          [self = shared_from_this(), number](const error_code &error, std::size_t) {
                              if (number == self->m_connection)
@@ -168,7 +193,7 @@
     bool m_isConnected = false;
     bool m_isReused = false;
     http::request<http::empty_body> m_request;
-    beast::flat_buffer m_in;
+    beast::flat_buffer m_in{largestUnparsed};
     std::optional<http::response_parser<GrowingStringBody>> m_parser;
     Callback m_done;
     Subscription m_timeout;
--- a/modules/adapters/src/platform/PlatformCall.h
+++ b/modules/adapters/src/platform/PlatformCall.h
@@ -12,6 +12,10 @@
 
 namespace oleander {
 
+/// Bytes that were read and are no whole piece of a response yet, such as a line. Bodies do not
+/// count.
+constexpr std::size_t maximumUnparsedBytes = std::size_t{128} * 1024;
+
 /// Addresses and limits shared by all calls of one reader.
 struct PlatformEndpoints
 {
@@ -52,7 +56,7 @@
     std::size_t m_tried = 0;
     std::size_t m_address = 0;
     http::request<http::empty_body> m_request;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{maximumUnparsedBytes};
     std::optional<http::response_parser<GrowingStringBody>> m_parser;
 };
 
--- a/modules/adapters/src/servers/ServerConnection.cpp
+++ b/modules/adapters/src/servers/ServerConnection.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t readBytes = 8192;
+/// Bytes that were read and are no whole piece of a reply yet, such as a line. Bodies do not count.
+constexpr std::size_t maximumUnparsedBytes = std::size_t{64} * 1024;
 constexpr int httpOk = 200;
 
 void appendNumber(std::string &out, std::size_t number)
@@ -155,6 +157,10 @@
         end(ConnectionEnd::ProtocolError);
         return;
     }
+    if (!m_parser->is_done() && m_input.size() > maximumUnparsedBytes) {
+        end(ConnectionEnd::ProtocolError);
+        return;
+    }
     if (!m_parser->is_done()) {
         read();
         return;
--- a/modules/adapters/tests/gateway/HttpGetterTest.cpp
+++ b/modules/adapters/tests/gateway/HttpGetterTest.cpp
@@ -1,3 +1,5 @@
+#include "support/EndlessServer.h"
+
 #include <oleander/adapters/gateway/HttpGetter.h>
 #include <oleander/adapters/time/AsioTimerService.h>
 
@@ -113,4 +115,22 @@
     EXPECT_EQ(answer->body.size(), largestBody);
 }
 
+// Guards against reading on in an answer without end, all of which would be kept in memory.
+TEST(HttpGetterLimits, AnswersWithoutEndAreCutAfterABoundedNumberOfBytes)
+{
+    // Includes what the system's buffers take.
+    constexpr std::size_t mostSent = std::size_t{16} * 1024 * 1024;
+    for (const auto &bytes : oleander::testing::endlessBytes()) {
+        asio::io_context context;
+        AsioTimerService timer(context);
+        oleander::testing::EndlessServer server(context, bytes.opening, bytes.repeated);
+        HttpGetter getter(context, timer, server.address(), largestBody);
+        bool isDone = false;
+        getter.get("/x", seconds(5), [&](const auto &) { isDone = true; });
+        while (!isDone && server.sentBytes() <= mostSent)
+            context.run_one_for(std::chrono::milliseconds(100));
+        EXPECT_TRUE(isDone) << bytes.name;
+    }
+}
+
 } // namespace
--- a/modules/adapters/tests/gateway/ServerLinksTest.cpp
+++ b/modules/adapters/tests/gateway/ServerLinksTest.cpp
@@ -1,3 +1,5 @@
+#include "support/EndlessServer.h"
+
 #include <oleander/adapters/gateway/AsioServerLinks.h>
 #include <oleander/adapters/time/AsioTimerService.h>
 #include <oleander/gateway/HealthProbe.h>
@@ -18,6 +20,9 @@
 
 using namespace oleander;
 using boost::system::error_code;
+using oleander::testing::EndlessBytes;
+using oleander::testing::endlessBytes;
+using oleander::testing::EndlessServer;
 using tcp = boost::asio::ip::tcp;
 namespace asio = boost::asio;
 
@@ -38,68 +43,6 @@
     return names;
 }
 
-/// Sends `opening`, then `repeated` until the connection is closed.
-class EndlessServer
-{
-public:
-    EndlessServer(asio::io_context &context, std::string opening, const std::string &repeated)
-        : m_acceptor(context, {asio::ip::make_address("127.0.0.1"), 0})
-        , m_opening(std::move(opening))
-    {
-        // One write holds many repetitions, so that the server is faster than the reader.
-        while (m_repeated.size() < std::size_t{64} * 1024)
-            m_repeated += repeated;
-        accept();
-    }
-
-    [[nodiscard]] Address address() const
-    {
-        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
-    }
-    [[nodiscard]] bool isAnyOpen() const { return m_open > 0; }
-
-private:
-    using Socket = std::shared_ptr<tcp::socket>;
-
-    void accept()
-    {
-        m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
-            if (error)
-                return;
-            ++m_open;
-            const auto held = std::make_shared<tcp::socket>(std::move(socket));
-            awaitRequest(held);
-            accept();
-        });
-    }
-    void awaitRequest(const Socket &socket)
-    {
-        socket->async_read_some(asio::buffer(m_in),
-                                [this, socket](const error_code &error, std::size_t) {
-                                    if (error)
-                                        --m_open;
-                                    else
-                                        write(socket, m_opening);
-                                });
-    }
-    void write(const Socket &socket, const std::string &bytes)
-    {
-        asio::async_write(*socket, asio::buffer(bytes),
-                          [this, socket](const error_code &error, std::size_t) {
-                              if (error)
-                                  --m_open;
-                              else
-                                  write(socket, m_repeated);
-                          });
-    }
-
-    tcp::acceptor m_acceptor;
-    std::array<char, 4096> m_in{};
-    std::string m_opening;
-    std::string m_repeated;
-    int m_open = 0;
-};
-
 /// Sends one request as soon as the connection is open.
 class Requester final : public gateway::ServerLinkListener
 {
@@ -128,33 +71,6 @@
     std::unique_ptr<gateway::ServerLink> m_link;
 };
 
-struct EndlessBytes
-{
-    const char *name;
-    std::string opening;
-    std::string repeated;
-};
-
-std::vector<EndlessBytes> patterns()
-{
-    const std::string ok = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n";
-    return {
-        {"StatusLine", "HTTP/1.1 200 ", "x"},
-        {"HeaderLine", ok + "X: ", "x"},
-        {"HeaderFields", ok, "X: x\r\n"},
-        {"InterimReplies", "", "HTTP/1.1 102 Processing\r\n\r\n"},
-        {"RepliesToOtherRequests", "",
-         "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\nx"},
-        {"BodyWithoutLength", ok + "Receipt: a\r\n\r\n", "x"},
-        {"LongBody", ok + "Content-Length: 1000000000000\r\n\r\n", "x"},
-        {"Chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
-        {"LongChunk", ok + "Transfer-Encoding: chunked\r\n\r\nFFFFFFFFF\r\n", "x"},
-        {"ChunkExtension", ok + "Transfer-Encoding: chunked\r\n\r\n1;a=", "x"},
-        {"Trailers", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: x\r\n"},
-        {"NoHttpAtAll", "", std::string("\0\1\2", 3)},
-    };
-}
-
 class EndlessBytesTest : public ::testing::TestWithParam<EndlessBytes>
 {
 };
@@ -177,7 +93,7 @@
     EXPECT_FALSE(server.isAnyOpen());
 }
 
-INSTANTIATE_TEST_SUITE_P(AllPatterns, EndlessBytesTest, ::testing::ValuesIn(patterns()),
+INSTANTIATE_TEST_SUITE_P(AllPatterns, EndlessBytesTest, ::testing::ValuesIn(endlessBytes()),
                          [](const auto &testCase) { return std::string(testCase.param.name); });
 
 TEST(ServerLinks, ManyEndlessServersTogetherHoldABoundedNumberOfBytes)
@@ -254,6 +170,44 @@
     }
 };
 
+// Guards against turning away ordinary replies, because others that never end hold all the room.
+TEST(ServerLinks, UnfinishedRepliesThatHoldMuchMakeRoomForOthers)
+{
+    constexpr std::size_t limit = 1'000'000;
+    constexpr std::size_t stuckServers = 4;
+    // Together they leave less room than the head of an ordinary reply takes.
+    const std::string unfinished =
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 999999\r\n\r\n";
+    const std::size_t each = limit / stuckServers - 10;
+    asio::io_context context;
+    AsioServerLinks links(context, headerNames());
+    links.setMaximumHeldBytes(limit);
+    std::vector<std::unique_ptr<OpenServer>> servers;
+    std::vector<std::unique_ptr<Requester>> stuck;
+    for (std::size_t count = 0; count < stuckServers; ++count) {
+        servers.push_back(std::make_unique<OpenServer>(
+            context, unfinished + std::string(each - unfinished.size(), 'x')));
+        stuck.push_back(std::make_unique<Requester>(links, servers.back()->address()));
+    }
+    const auto runUntil = [&context](const auto &isDone) {
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (!isDone() && std::chrono::steady_clock::now() < until)
+            context.run_one_for(std::chrono::milliseconds(50));
+    };
+    runUntil([&] { return links.heldBytes() == stuckServers * each; });
+    ASSERT_EQ(links.heldBytes(), stuckServers * each);
+    for (int number = 0; number < 20; ++number) {
+        OpenServer server(context,
+                          "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 3000\r\n\r\n"
+                              + std::string(3000, 'x'));
+        Requester ordinary(links, server.address());
+        runUntil([&] { return ordinary.isClosed || ordinary.reply; });
+        EXPECT_TRUE(ordinary.reply) << number;
+        EXPECT_LE(links.heldBytes(), limit);
+    }
+    EXPECT_EQ(std::ranges::count_if(stuck, [](const auto &link) { return link->isClosed; }), 1);
+}
+
 // Guards against dropping a load report because of a pace that is missing, as servers of the
 // previous release send it, or unreadable.
 TEST(ServerLinks, PaceIsOptionalInALoadReport)
--- a/modules/adapters/tests/servers/AsioServerNetworkTest.cpp
+++ b/modules/adapters/tests/servers/AsioServerNetworkTest.cpp
@@ -1,4 +1,5 @@
 #include "ServerScript.h"
+#include "support/EndlessServer.h"
 
 #include <oleander/adapters/servers/ServerCodec.h>
 
@@ -234,3 +235,24 @@
     ASSERT_TRUE(runUntil(context, [&]() { return listener.replies.size() == 1; }));
     EXPECT_GT(received.size(), request.payload.size());
 }
+
+// Guards against reading on in a reply without end, all of which would be kept in memory.
+TEST_F(AsioServerNetworkTest, RepliesWithoutEndAreCutAfterABoundedNumberOfBytes)
+{
+    // Includes what the system's buffers take, and the largest reply.
+    const std::size_t mostSent = limits.maximumReplyBytes + std::size_t{32} * 1024 * 1024;
+    for (const auto &bytes : endlessBytes()) {
+        EndlessServer endless(context, bytes.opening, bytes.repeated);
+        server.address = addressText(endless.address());
+        listener = {};
+        const auto connection = network.open(server, listener);
+        ASSERT_TRUE(runUntil(context, [&]() { return listener.opened.size() == 1; }));
+        network.send(connection, subRequest());
+        runUntil(context,
+                 [&]() { return !listener.ended.empty() || endless.sentBytes() > mostSent; });
+        EXPECT_FALSE(listener.ended.empty()) << bytes.name;
+        EXPECT_TRUE(listener.replies.empty()) << bytes.name;
+        network.close(connection);
+        runAMoment(context);
+    }
+}
