A reply without a length is no reply when the connection was reset during the write

Cause: the system states the error of a connection once. The waiting write got it, and the reader took the end of the stream for the end of the reply.

Change: a failed write is remembered, and the end of the stream behind it ends no reply.

Test: ReplyWithoutLengthIsNoReplyWhenTheConnectionIsResetDuringTheWrite failed before, five of five.

--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -187,10 +187,9 @@
                               self->m_isWriting = false;
                               // Bodies are large, and a connection may be idle for long.
                               self->m_out = {};
-                              // The reader learns of the same failure, after a reply that may
-                              // have come before it.
+                              // A reply may have come before the failure, so the reader goes on.
                               if (error && error != asio::error::operation_aborted)
-                                  self->m_isBroken = true;
+                                  self->m_isWriteFailed = self->m_isBroken = true;
                           });
     }
 
@@ -304,8 +303,10 @@
 
     void onEnd(const error_code &error)
     {
-        if (error == asio::error::eof && m_request && m_parser && m_parser->is_header_done()
-            && m_parser->need_eof()) {
+        // The system states once that a connection failed. If the write was told, the reader finds
+        // the end of the stream, and what it has need not be the whole reply.
+        if (error == asio::error::eof && !m_isWriteFailed && m_request && m_parser
+            && m_parser->is_header_done() && m_parser->need_eof()) {
             error_code parseError;
             m_parser->put_eof(parseError);
             if (!parseError && m_parser->is_done()) {
@@ -449,6 +450,8 @@
     const HeaderNames &m_names;
     gateway::ServerLinkListener *m_listener;
     bool m_isWriting = false;
+    /// The connection failed while a request was written.
+    bool m_isWriteFailed = false;
     /// Something was seen after which the connection must not be used again.
     bool m_isBroken = false;
     bool m_isHead = false;
--- a/modules/adapters/tests/gateway/ServerLinksTest.cpp
+++ b/modules/adapters/tests/gateway/ServerLinksTest.cpp
@@ -47,8 +47,9 @@
 class Requester final : public gateway::ServerLinkListener
 {
 public:
-    Requester(AsioServerLinks &links, const Address &address)
-        : m_link(links.open(address, *this))
+    Requester(AsioServerLinks &links, const Address &address, std::size_t bodyBytes = 0)
+        : m_bodyBytes(bodyBytes)
+        , m_link(links.open(address, *this))
     {
     }
 
@@ -59,7 +60,8 @@
         request->method = "GET";
         request->target = "/x";
         request->host = "host.example";
-        m_link->send({std::move(request), ServerId("i-1"), seconds(1)});
+        request->body.assign(m_bodyBytes, 'x');
+        m_link->send({std::move(request), ServerId("i-1"), seconds(15)});
     }
     void onReply(gateway::ServerReply given, bool) override { reply = std::move(given); }
     void onClosed(gateway::LinkEnd) override { isClosed = true; }
@@ -68,6 +70,7 @@
     bool isClosed = false;
 
 private:
+    std::size_t m_bodyBytes;
     std::unique_ptr<gateway::ServerLink> m_link;
 };
 
@@ -258,6 +261,93 @@
     }
 }
 
+/// Answers without a length before it has read the request: at once with a first part, and after a
+/// time with the second one, unless it ends before. Its window is small.
+class EarlyServer
+{
+public:
+    EarlyServer(asio::io_context &context, std::chrono::milliseconds workTime, bool isCrashing)
+        : m_acceptor(context)
+        , m_socket(context)
+        , m_timer(context)
+    {
+        m_acceptor.open(tcp::v4());
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(8192));
+        m_acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+        m_acceptor.listen();
+        m_acceptor.async_accept(m_socket, [this, workTime, isCrashing](const error_code &) {
+            m_socket.async_read_some(
+                asio::buffer(m_in), [this](const error_code &, std::size_t count) {
+                    m_read += count;
+                    send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nReceipt: a\r\n\r\nfirst");
+                });
+            m_timer.expires_after(workTime);
+            m_timer.async_wait([this, isCrashing](const error_code &) {
+                // With unread bytes, closing resets the connection.
+                error_code ignored;
+                if (isCrashing) {
+                    m_socket.close(ignored);
+                    return;
+                }
+                send(" second");
+                readOn();
+            });
+        });
+    }
+    [[nodiscard]] Address address() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+private:
+    void send(const std::string &bytes)
+    {
+        error_code ignored;
+        asio::write(m_socket, asio::buffer(bytes), ignored);
+    }
+    /// Ends the reply when most of the request is there, and reads what is left.
+    void readOn()
+    {
+        m_socket.async_read_some(asio::buffer(m_in),
+                                 [this](const error_code &error, std::size_t count) {
+                                     m_read += count;
+                                     error_code ignored;
+                                     if (m_read >= longBody)
+                                         m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+                                     if (!error)
+                                         readOn();
+                                 });
+    }
+
+public:
+    static constexpr std::size_t longBody = std::size_t{256} * 1024;
+
+private:
+    tcp::acceptor m_acceptor;
+    tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    std::array<char, 4096> m_in{};
+    std::size_t m_read = 0;
+};
+
+// Guards against taking the reply of a server that ended for a whole one: the connection was reset
+// while the request was written, and the reader found the end of the stream only (MIXED).
+TEST(ServerLinks, ReplyWithoutLengthIsNoReplyWhenTheConnectionIsResetDuringTheWrite)
+{
+    // More than the buffers of both systems hold, so that the write has to wait.
+    for (int run = 0; run < 5; ++run) {
+        asio::io_context context;
+        EarlyServer server(context, std::chrono::milliseconds(50), true);
+        AsioServerLinks links(context, headerNames());
+        Requester requester(links, server.address(), std::size_t{8} * 1024 * 1024);
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (!requester.isClosed && !requester.reply && std::chrono::steady_clock::now() < until)
+            context.run_one_for(std::chrono::milliseconds(50));
+        EXPECT_TRUE(requester.isClosed);
+        EXPECT_FALSE(requester.reply);
+    }
+}
+
 gateway::HealthProbeOutcome probeHealth(const std::string &reply)
 {
     asio::io_context context;
