A slow server that reads a long request late is waited for

Cause: TCP_USER_TIMEOUT of 3 s ends a connection whose peer keeps its window closed, although the peer acknowledges each probe.

Change: the option lasts 3 s for requests of up to 4 KiB, which fit in the buffer of any server, and as long as the request's time for larger ones.

Test: SlowServerThatReadsLateIsWaitedFor failed before.

--- a/modules/adapters/src/gateway/AsioServerLinks.cpp
+++ b/modules/adapters/src/gateway/AsioServerLinks.cpp
@@ -33,7 +33,11 @@
 constexpr std::size_t largestHeader = std::size_t{32} * 1024;
 constexpr std::size_t readSize = std::size_t{8} * 1024;
 /// Sent bytes that are not acknowledged for this long end the connection.
-constexpr int unacknowledgedLimitMs = 3000;
+constexpr Duration unacknowledgedLimit = seconds(3);
+/// Requests of this size fit in the receive buffer of any server. The system takes larger ones that
+/// a server does not read for unacknowledged, though the server acknowledges all that is sent to
+/// it.
+constexpr std::size_t largestSurelyBuffered = std::size_t{4} * 1024;
 /// Interim replies and replies to earlier requests that are skipped before the one that is awaited.
 constexpr int maximumSkippedReplies = 16;
 
@@ -165,8 +169,7 @@
             return;
         }
         m_socket.set_option(tcp::no_delay(true), error);
-        const int limit = unacknowledgedLimitMs;
-        ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+        limitUnacknowledged(unacknowledgedLimit);
         m_socket.async_connect(
             {number, address.port},
             [self = shared_from_this()](const error_code &failure) { self->onConnected(failure); });
@@ -181,6 +184,9 @@
         m_skippedReplies = 0;
         m_out = head(request);
         m_out += m_request->body;
+        limitUnacknowledged(m_out.size() <= largestSurelyBuffered
+                                ? unacknowledgedLimit
+                                : std::max(unacknowledgedLimit, request.timeLeft));
         m_isWriting = true;
         asio::async_write(m_socket, asio::buffer(m_out),
                           [self = shared_from_this()](const error_code &error, std::size_t) {
@@ -221,6 +227,16 @@
         m_listener->onOpened();
     }
 
+    void limitUnacknowledged(Duration limit)
+    {
+        if (std::exchange(m_unacknowledgedLimit, limit) == limit)
+            return;
+        const auto limitMs =
+            static_cast<int>(std::chrono::duration_cast<milliseconds>(limit).count());
+        ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limitMs,
+                     sizeof limitMs);
+    }
+
     void read()
     {
         // Waiting needs no buffer, so that idle connections hold none.
@@ -449,6 +465,7 @@
     tcp::socket m_socket;
     const HeaderNames &m_names;
     gateway::ServerLinkListener *m_listener;
+    Duration m_unacknowledgedLimit{};
     bool m_isWriting = false;
     /// The connection failed while a request was written.
     bool m_isWriteFailed = false;
--- a/modules/adapters/tests/gateway/ServerLinksTest.cpp
+++ b/modules/adapters/tests/gateway/ServerLinksTest.cpp
@@ -348,6 +348,21 @@
     }
 }
 
+// Guards against ending the connection to a slow server that does not read a long request for some
+// seconds, and passing on what it has sent until then (MIXED).
+TEST(ServerLinks, SlowServerThatReadsLateIsWaitedFor)
+{
+    asio::io_context context;
+    EarlyServer server(context, std::chrono::milliseconds(5000), false);
+    AsioServerLinks links(context, headerNames());
+    Requester requester(links, server.address(), EarlyServer::longBody);
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(12);
+    while (!requester.isClosed && !requester.reply && std::chrono::steady_clock::now() < until)
+        context.run_one_for(std::chrono::milliseconds(50));
+    ASSERT_TRUE(requester.reply);
+    EXPECT_EQ(requester.reply->body, "first second");
+}
+
 gateway::HealthProbeOutcome probeHealth(const std::string &reply)
 {
     asio::io_context context;
