The fields of a caller's head count as memory

Cause: a head was charged with a constant; 3700 fields of four bytes take some 300 KB.

Change: what the fields take is counted before the body is read and while the request is under way.

Test: FieldsOfAHeadCountAsMemory failed before.

--- a/modules/adapters/src/gateway/IngressSession.cpp
+++ b/modules/adapters/src/gateway/IngressSession.cpp
@@ -44,8 +44,11 @@
 /// The largest buffer that one connection gets: at a delay of 3 ms to callers it allows 87 MB a
 /// second.
 constexpr std::size_t largestBufferBytes = std::size_t{256} * 1024;
-/// A session's parser with the fields of a usual request.
+/// A session's parser without fields.
 constexpr std::size_t parserBytes = 2048;
+/// What each field of a head takes beside its text: the parser's node, and as many bytes again for
+/// the strings of the request that is passed on.
+constexpr std::size_t fieldBytes = 96;
 /// Seconds after which refused callers may come again. Connections that hold much memory are closed
 /// at once; callers honour at most a third of the time they have left, of 250 ms at least.
 constexpr const char *memoryRetryAfter = "0.05";
@@ -64,6 +67,15 @@
     return microseconds(info.tcpi_rtt);
 }
 
+/// Memory that the fields of a head take.
+std::size_t memoryOf(const http::fields &fields)
+{
+    std::size_t bytes = 0;
+    for (const auto &field : fields)
+        bytes += fieldBytes + field.name_string().size() + field.value().size();
+    return bytes;
+}
+
 std::string_view viewOf(beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -275,13 +287,14 @@
 bool IngressSession::admit()
 {
     m_isAdmitted = true;
+    m_headBytes = memoryOf(m_parser->get());
     const auto stated = m_parser->content_length();
     const std::size_t bodyBytes =
         m_parser->chunked() ? m_shared->limits.bodyBytes : stated.value_or(0);
     if (!m_shared->memory || bodyBytes == 0)
         return true;
     // The length of a chunked body is not known; it is charged as it grows.
-    const std::size_t bytes = m_parser->chunked() ? parserBytes : bodyBytes;
+    const std::size_t bytes = m_headBytes + (m_parser->chunked() ? parserBytes : bodyBytes);
     const bool hasRoom = m_shared->memory->makeRoom(MemoryHolder::UnfinishedRequests, bytes);
     if (m_phase == Phase::Closed)
         return false;
@@ -311,7 +324,7 @@
 {
     ++m_shared->counts.requests;
     // The copy that is sent to a server needs as much again.
-    const std::size_t bytes = 2 * (m_parser->get().body().size() + parserBytes);
+    const std::size_t bytes = 2 * (m_parser->get().body().size() + m_headBytes + parserBytes);
     m_unfinished.set(0);
     const bool hasRoom =
         !m_shared->memory || m_shared->memory->makeRoom(MemoryHolder::RequestsUnderWay, bytes);
@@ -517,7 +530,8 @@
 {
     const std::size_t buffered = m_in.capacity() + m_receiveBuffer - receiveBufferBytes;
     if (m_phase == Phase::Receiving && m_parser) {
-        m_unfinished.set(buffered + m_parser->get().body().capacity() + parserBytes);
+        const std::size_t headBytes = m_isAdmitted ? m_headBytes : 0;
+        m_unfinished.set(buffered + m_parser->get().body().capacity() + headBytes + parserBytes);
         m_ahead.set(0);
         return;
     }
--- a/modules/adapters/src/gateway/IngressSession.h
+++ b/modules/adapters/src/gateway/IngressSession.h
@@ -99,6 +99,8 @@
     bool m_isHead = false;
     bool m_wasContinueSent = false;
     bool m_isAdmitted = false;
+    /// Memory that the fields of the present request take.
+    std::size_t m_headBytes = 0;
     /// When bytes last moved on the connection.
     TimePoint m_progressAt{};
     std::size_t m_receiveBuffer = receiveBufferBytes;
--- a/modules/adapters/tests/gateway/CallerIngressTest.cpp
+++ b/modules/adapters/tests/gateway/CallerIngressTest.cpp
@@ -106,6 +106,19 @@
         responseTo(whole + std::string(20'000, 'x'), machineBytes).starts_with("HTTP/1.1 503 "));
 }
 
+// Guards against heads whose many fields take far more memory than their bytes, and are not counted
+// (LOST, processes that end for lack of memory).
+TEST(CallerIngress, FieldsOfAHeadCountAsMemory)
+{
+    constexpr std::size_t machineBytes = std::size_t{4} * 50'000;
+    std::string head =
+        "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 1000\r\n";
+    for (int field = 0; field < 1000; ++field)
+        head += "a: \r\n";
+    const std::string received = responseTo(head + "\r\n" + std::string(1000, 'x'), machineBytes);
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 503 ")) << received;
+}
+
 TEST(CallerIngress, AbsurdContentLengthIsRefused)
 {
     const std::string received =
