--- a/modules/gateway/tests/CoordinatorTest.cpp
+++ b/modules/gateway/tests/CoordinatorTest.cpp
@@ -314,6 +314,20 @@
     EXPECT_LE(mostExecutions("r1"), 2);
 }
 
+// Guards against a third server of a shard: a coordinator that has hedged falls silent, and the
+// request is begun again elsewhere as if it had never been read (BUDGET).
+TEST_F(CoordinatedFleet, NothingIsRunAgainWhenTheSilentCoordinatorMayHaveHedged)
+{
+    for (int server = 0; server < 3; ++server)
+        servers.behaviour(addressOf(0, server)).slowdown = 60;
+    const auto received = send(0);
+    scheduler.runFor(milliseconds(120));
+    ASSERT_FALSE(received->answer);
+    mesh.setSilent(preferredBy(0), true);
+    scheduler.runFor(seconds(3));
+    EXPECT_LE(mostExecutions("r1"), 2);
+}
+
 TEST_F(CoordinatedFleet, ASilentCoordinatorIsGoneRoundAfterOneObservation)
 {
     mesh.setSilent(preferredBy(0), true);
