--- a/modules/decisions/include/oleander/decisions/request/CrashMemory.h
+++ b/modules/decisions/include/oleander/decisions/request/CrashMemory.h
@@ -25,8 +25,8 @@
     Duration resourceRefusal = seconds(60);
     /// Number of lost servers after which a fingerprint is refused.
     int serverLimit = 2;
-    /// The same for a fingerprint that is known to be harmless, which may have shared servers with
-    /// another one that crashes them, or that other instances sent.
+    /// The same for a fingerprint that a server has survived recently: it may have been at servers
+    /// that another one crashed, perhaps one that another instance sent.
     int harmlessServerLimit = 5;
 };
 
--- a/modules/gateway/include/oleander/gateway/BackendServer.h
+++ b/modules/gateway/include/oleander/gateway/BackendServer.h
@@ -194,8 +194,8 @@
     /// whether it has ended, and the time of the last of these closings.
     std::vector<std::shared_ptr<CrashTrial>> m_unverified;
     TimePoint m_lastClosedAt{};
-    /// The check of whether it has ended: the present probe or the time of the next one, and until
-    /// when it is probed.
+    /// The check of whether the server has ended: the present probe, the timer of the next one, and
+    /// the time after which no further one is sent.
     bool m_isCheckingEnd = false;
     std::unique_ptr<HealthProbe> m_endProbe;
     Subscription m_nextEndProbe;
--- a/modules/gateway/src/BackendServer.cpp
+++ b/modules/gateway/src/BackendServer.cpp
@@ -499,7 +499,8 @@
     noteConnected(m_score);
     if (std::exchange(m_isConnectionLost, false))
         assumeCold("new connection after a loss");
-    // A dead process's address may still accept connections, but nothing else can be asked.
+    // Weak evidence, since the address of a process that has ended may accept connections, but
+    // without a health path there is no other.
     if (m_healthPath.empty() && connection.openedAt() >= m_lastClosedAt)
         onChecked(false, "connection opened");
     sendWaiting();
